--- /dev/null
+++ b/cmd/boragehead/fleet.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"context"
+	"io"
+	"strings"
+
+	"github.com/boragehead/boragehead/internal/keeper"
+	"github.com/boragehead/boragehead/internal/operator"
+	"github.com/boragehead/boragehead/internal/reporter"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	flagUndo             = "undo"
+	flagAcceptLostClaims = "accept-lost-claims"
+)
+
+func instancesCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "instances",
+		Usage: "entry instances",
+		Commands: []*cli.Command{
+			{
+				Name: "drain", Usage: "take an instance out of the directory", ArgsUsage: "NAME",
+				Flags:  []cli.Flag{&cli.BoolFlag{Name: flagUndo, Usage: "put it back in"}, changeIDFlag()},
+				Action: withClient(drainInstance),
+			},
+			{
+				Name: "remove", Usage: "say that an instance is gone for good: its grants are free again", ArgsUsage: "NAME",
+				Action: withClient(removeInstance),
+			},
+		},
+	}
+}
+
+func drainInstance(ctx context.Context, command *cli.Command, client *operator.Client) error {
+	name, err := oneArgument(command, "NAME")
+	if err != nil {
+		return err
+	}
+	result, err := client.Drain(ctx, changeID(command), name, !command.Bool(flagUndo))
+	if err != nil {
+		return err
+	}
+	return show(command, result, func(w io.Writer) { line(w, "accepted as revision %d", result.Revision) })
+}
+
+func removeInstance(ctx context.Context, command *cli.Command, client *operator.Client) error {
+	name, err := oneArgument(command, "NAME")
+	if err != nil {
+		return err
+	}
+	if err := client.Remove(ctx, name); err != nil {
+		return err
+	}
+	line(command.Root().Writer, "the grants of %s are free", name)
+	return nil
+}
+
+func keepersCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "keepers",
+		Usage: "control instances",
+		Commands: []*cli.Command{
+			{Name: "found", Usage: "make the keepers of the settings a new fleet, once", Action: withClient(foundKeepers)},
+			{
+				Name: "readmit", Usage: "give a keeper that lost its disk its place again", ArgsUsage: "NAME",
+				Flags: []cli.Flag{&cli.BoolFlag{
+					Name: flagAcceptLostClaims, Usage: "go on when the region's claims were lost: bookings made before may run again",
+				}},
+				Action: withClient(readmitKeeper),
+			},
+		},
+	}
+}
+
+func foundKeepers(ctx context.Context, command *cli.Command, client *operator.Client) error {
+	if err := client.Found(ctx); err != nil {
+		return err
+	}
+	line(command.Root().Writer, "founded")
+	return nil
+}
+
+func readmitKeeper(ctx context.Context, command *cli.Command, client *operator.Client) error {
+	name, err := oneArgument(command, "NAME")
+	if err != nil {
+		return err
+	}
+	if err := client.Readmit(ctx, name, command.Bool(flagAcceptLostClaims)); err != nil {
+		return err
+	}
+	line(command.Root().Writer, "%s is readmitted; it gets its vote when it has caught up", name)
+	return nil
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "instances, backend servers and the revision in force on each",
+		Action: withClient(func(ctx context.Context, command *cli.Command, client *operator.Client) error {
+			status, err := client.Status(ctx)
+			if err != nil {
+				return err
+			}
+			return show(command, status, func(w io.Writer) { showStatus(w, status) })
+		}),
+	}
+}
+
+func showStatus(w io.Writer, status keeper.Status) {
+	line(w, "revision %d, seen by %s; leader %s, term %d, quorum %t", status.Revision, status.Keeper, status.Leader, status.Term, status.Quorum)
+	for _, id := range status.Pending {
+		line(w, "withdrawal pending: %s", id)
+	}
+	line(w, "")
+	line(w, "KEEPER\tVOTE")
+	for _, member := range status.Members {
+		line(w, "%s\t%t", member.Name, member.Voter)
+	}
+	line(w, "")
+	line(w, "INSTANCE\tREGION\tFAILURE DOMAIN\tSTATE\tREVISION\tSILENT\tPOOLS (servers, free)")
+	for _, i := range status.Instances {
+		var pools []string
+		for _, pool := range i.Pools {
+			pools = append(pools, pool.Pool+" "+servers(pool.Servers, pool.Free))
+		}
+		line(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s", i.Name, i.Region, i.FailureDomain, i.State, i.Revision, i.Silent, strings.Join(pools, "; "))
+	}
+}
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "report",
+		Usage: "reports over the fleet",
+		Commands: []*cli.Command{{
+			Name: "burn", Usage: "how fast the error budgets burn, by route, region and worst workspaces",
+			Action: withClient(func(ctx context.Context, command *cli.Command, client *operator.Client) error {
+				burn, err := client.Burn(ctx)
+				if err != nil {
+					return err
+				}
+				return show(command, burn, func(w io.Writer) { showBurn(w, burn) })
+			}),
+		}},
+	}
+}
+
+func showBurn(w io.Writer, burn reporter.Burn) {
+	line(w, "ROUTE\tREGION\tTARGET\t5M\t1H\t6H\tBUDGET LEFT\tREQUESTS (6H)")
+	for _, r := range burn.Routes {
+		region := r.Region
+		if region == "" {
+			region = "all"
+		}
+		line(w, "%s\t%s\t%.3f\t%.2f\t%.2f\t%.2f\t%.0f%%\t%d", r.Route, region, r.Target,
+			r.Rates.Short, r.Rates.Middle, r.Rates.Long, 100*r.BudgetLeft, r.Counts.Long.Total)
+	}
+	line(w, "")
+	line(w, "WORST WORKSPACE\tMISSED\tREQUESTS (6H)")
+	for _, workspace := range burn.Workspaces {
+		line(w, "%s\t%.1f%%\t%d", workspace.Workspace, 100*workspace.BadShare, workspace.Counts.Long.Total)
+	}
+	if len(burn.Missing) > 0 {
+		line(w, "")
+		line(w, "MISSING: %s", strings.Join(burn.Missing, ", "))
+	}
+}
--- /dev/null
+++ b/cmd/boragehead/keys.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"io"
+	"strings"
+
+	"github.com/boragehead/boragehead/internal/operator"
+	"github.com/boragehead/boragehead/internal/tabler"
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+)
+
+const flagHome = "home"
+
+func keysCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "keys",
+		Usage: "workspace keys",
+		Commands: []*cli.Command{
+			{
+				Name:      "give",
+				Usage:     "make a key for a workspace and show it once",
+				ArgsUsage: "WORKSPACE",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: flagHome, Usage: "the key's home `REGION`; a bound workspace's own by default"},
+					changeIDFlag(),
+				},
+				Action: withClient(giveKey),
+			},
+			{
+				Name: "withdraw", Usage: "end a key for good", ArgsUsage: "KEY-ID",
+				Flags: []cli.Flag{changeIDFlag()}, Action: withClient(withdrawKey),
+			},
+			{Name: "list", Usage: "list the keys, without their secrets", Action: withClient(listKeys)},
+		},
+	}
+}
+
+// givenKey is the JSON form of a new key.
+type givenKey struct {
+	ID     string `json:"id"`
+	Secret string `json:"secret"`
+}
+
+func giveKey(ctx context.Context, command *cli.Command, client *operator.Client) error {
+	workspace, err := oneArgument(command, "WORKSPACE")
+	if err != nil {
+		return err
+	}
+	secret := tabler.NewSecret()
+	key, err := tabler.NewKey(secret, workspace, command.String(flagHome))
+	if err != nil {
+		return err
+	}
+	id := changeID(command)
+	if _, err := client.Give(ctx, id, key); err != nil {
+		return trace.Wrap(err, "change %s", id)
+	}
+	return show(command, givenKey{ID: key.ID, Secret: secret}, func(w io.Writer) {
+		line(w, "id\t%s", key.ID)
+		line(w, "secret\t%s", secret)
+		line(w, "\t(shown only now)")
+	})
+}
+
+func withdrawKey(ctx context.Context, command *cli.Command, client *operator.Client) error {
+	id, err := oneArgument(command, "KEY-ID")
+	if err != nil {
+		return err
+	}
+	outcome, err := client.Withdraw(ctx, changeID(command), id)
+	if err != nil {
+		return err
+	}
+	return show(command, outcome, func(w io.Writer) {
+		if outcome.Accepted {
+			line(w, "accepted: the key no longer works")
+			return
+		}
+		line(w, "pending: it takes effect where it is heard")
+		line(w, "quorum\t%t", outcome.Quorum)
+		line(w, "not reached\t%s", strings.Join(outcome.Unreached, ", "))
+	})
+}
+
+func listKeys(ctx context.Context, command *cli.Command, client *operator.Client) error {
+	keys, err := client.Keys(ctx)
+	if err != nil {
+		return err
+	}
+	return show(command, keys, func(w io.Writer) {
+		line(w, "ID\tWORKSPACE\tHOME\tSTATE")
+		for _, key := range keys {
+			state := "valid"
+			if key.Withdrawn {
+				state = "withdrawn"
+			}
+			line(w, "%s\t%s\t%s\t%s", key.ID, key.Workspace, key.HomeRegion, state)
+		}
+	})
+}
--- /dev/null
+++ b/cmd/boragehead/main.go
@@ -0,0 +1,28 @@
+// Command boragehead is the operators' client.
+package main
+
+import (
+	"github.com/boragehead/boragehead/internal/commander"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	commander.Main(&cli.Command{
+		Name:  "boragehead",
+		Usage: "drive a boragehead fleet",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagSettings, Usage: "the settings `FILE`, in YAML", Value: "operator.yaml", Sources: cli.EnvVars("BORAGEHEAD_SETTINGS")},
+			&cli.StringFlag{Name: flagOutput, Usage: "text or json", Value: outputText},
+			&cli.StringFlag{Name: flagKeeper, Usage: "ask only the keeper of this `NAME`"},
+		},
+		Commands: []*cli.Command{
+			tablesCommand(),
+			keysCommand(),
+			instancesCommand(),
+			keepersCommand(),
+			statusCommand(),
+			reportCommand(),
+			certificatesCommand(),
+		},
+	})
+}
--- /dev/null
+++ b/cmd/boragehead/tables.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/boragehead/boragehead/internal/operator"
+	"github.com/boragehead/boragehead/internal/tabler"
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	flagStale  = "stale"
+	flagExpect = "expect-revision"
+)
+
+func tablesCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "tables",
+		Usage: "routes, pools, regions and workspaces",
+		Commands: []*cli.Command{
+			{
+				Name:   "get",
+				Usage:  "print the tables in force, and their revision as a comment",
+				Flags:  []cli.Flag{&cli.BoolFlag{Name: flagStale, Usage: "what a keeper has heard will do, also without a quorum"}},
+				Action: withClient(getTables),
+			},
+			{Name: "check", Usage: "check a file and name every fault", ArgsUsage: "FILE", Action: checkTables},
+			{Name: "diff", Usage: "show what a file would change", ArgsUsage: "FILE", Action: withClient(diffTables)},
+			{
+				Name:      "apply",
+				Usage:     "put a file in force",
+				ArgsUsage: "FILE",
+				Flags: []cli.Flag{
+					&cli.Uint64Flag{Name: flagExpect, Usage: "the `REVISION` that the file was made from", Required: true},
+					changeIDFlag(),
+				},
+				Action: withClient(applyTables),
+			},
+		},
+	}
+}
+
+// tablesView is the JSON form of tables with their revision.
+type tablesView struct {
+	Revision tabler.Revision `json:"revision"`
+	Tables   tabler.Tables   `json:"tables"`
+}
+
+func getTables(ctx context.Context, command *cli.Command, client *operator.Client) error {
+	tables, revision, err := client.Tables(ctx, command.Bool(flagStale))
+	if err != nil {
+		return err
+	}
+	text, err := tabler.Format(tables)
+	if err != nil {
+		return err
+	}
+	return show(command, tablesView{Revision: revision, Tables: tables}, func(w io.Writer) {
+		line(w, "# revision %d", revision)
+		_, _ = w.Write(text)
+	})
+}
+
+func readTables(command *cli.Command) (tabler.Tables, error) {
+	path, err := oneArgument(command, "FILE")
+	if err != nil {
+		return tabler.Tables{}, err
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return tabler.Tables{}, trace.ConvertSystemError(err)
+	}
+	return tabler.Parse(path, text)
+}
+
+func checkTables(_ context.Context, command *cli.Command) error {
+	if _, err := readTables(command); err != nil {
+		return err
+	}
+	line(command.Root().Writer, "the tables are in order")
+	return nil
+}
+
+func diffTables(ctx context.Context, command *cli.Command, client *operator.Client) error {
+	next, err := readTables(command)
+	if err != nil {
+		return err
+	}
+	current, revision, err := client.Tables(ctx, false)
+	if err != nil {
+		return err
+	}
+	edit := tabler.Diff(current, next)
+	return show(command, edit, func(w io.Writer) {
+		line(w, "against revision %d:", revision)
+		showEdit(w, edit)
+	})
+}
+
+func showEdit(w io.Writer, edit tabler.Edit) {
+	if edit.Empty() {
+		line(w, "no change")
+	}
+	for _, region := range edit.Put.Regions {
+		line(w, "put\tregion\t%s", region.Name)
+	}
+	for _, pool := range edit.Put.Pools {
+		line(w, "put\tpool\t%s", pool.Name)
+	}
+	for _, route := range edit.Put.Routes {
+		line(w, "put\troute\t%s", route.Name)
+	}
+	for _, workspace := range edit.Put.Workspaces {
+		line(w, "put\tworkspace\t%s", workspace.Name)
+	}
+	for _, name := range edit.Remove {
+		line(w, "remove\t%s\t%s", name.Kind, name.Name)
+	}
+}
+
+func applyTables(ctx context.Context, command *cli.Command, client *operator.Client) error {
+	next, err := readTables(command)
+	if err != nil {
+		return err
+	}
+	id := changeID(command)
+	result, err := client.Edit(ctx, id, tabler.Revision(command.Uint64(flagExpect)), next)
+	if err != nil {
+		return trace.Wrap(err, "change %s", id)
+	}
+	return show(command, result, func(w io.Writer) { line(w, "accepted as revision %d (change %s)", result.Revision, id) })
+}
+
--- /dev/null
+++ b/internal/certifier/config.go
@@ -0,0 +1,79 @@
+package certifier
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"slices"
+
+	"github.com/gravitational/trace"
+)
+
+// Identity is what a verified certificate says of its holder.
+type Identity struct {
+	Name string
+	Role Role
+}
+
+// Credentials are a process's own certificate and the authority it trusts.
+type Credentials struct {
+	certificate tls.Certificate
+	authorities *x509.CertPool
+}
+
+// LoadCredentials reads the files that the settings name.
+func LoadCredentials(authority, certificate, key string) (Credentials, error) {
+	pair, err := tls.LoadX509KeyPair(certificate, key)
+	if err != nil {
+		return Credentials{}, trace.Wrap(err)
+	}
+	text, err := os.ReadFile(authority)
+	if err != nil {
+		return Credentials{}, trace.ConvertSystemError(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return Credentials{}, trace.BadParameter("%s holds no certificate", authority)
+	}
+	return Credentials{certificate: pair, authorities: pool}, nil
+}
+
+// Server returns the configuration of a listener that admits only holders of
+// certificates from the same authority.
+func (c Credentials) Server(protocols ...string) *tls.Config {
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{c.certificate},
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientCAs:    c.authorities,
+		NextProtos:   protocols,
+	}
+}
+
+// Client returns the configuration for reaching the process of a name.
+func (c Credentials) Client(name string, protocols ...string) *tls.Config {
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{c.certificate},
+		RootCAs:      c.authorities,
+		ServerName:   name,
+		NextProtos:   protocols,
+	}
+}
+
+// IdentityOf returns who is at the other end of a verified connection.
+func IdentityOf(state tls.ConnectionState) (Identity, error) {
+	if len(state.VerifiedChains) == 0 {
+		return Identity{}, trace.AccessDenied("no verified certificate")
+	}
+	subject := state.PeerCertificates[0].Subject
+	if len(subject.OrganizationalUnit) != 1 {
+		return Identity{}, trace.AccessDenied("certificate of %q names no role", subject.CommonName)
+	}
+	return Identity{Name: subject.CommonName, Role: Role(subject.OrganizationalUnit[0])}, nil
+}
+
+// Allowed reports whether the identity has one of the roles.
+func (i Identity) Allowed(roles ...Role) bool {
+	return slices.Contains(roles, i.Role)
+}
--- /dev/null
+++ b/internal/granter/planner.go
@@ -0,0 +1,206 @@
+package granter
+
+import (
+	"maps"
+	"time"
+)
+
+// Times of leases.
+const (
+	// Lease is how long a holder may use its leased part after it asked.
+	Lease = 15 * time.Second
+	// Drift is what clocks may differ by over one lease.
+	Drift = 3 * time.Second
+	// SyncInterval is how often a holder asks.
+	SyncInterval = 5 * time.Second
+)
+
+// floorShare is the part of the whole that holders keep without contact.
+const floorShare = 0.5
+
+// replanShare is the part of the leased whole that must be misplaced before
+// demand alone moves it.
+const replanShare = 0.2
+
+// demandInterval is the least time between two moves by demand.
+const demandInterval = 5 * time.Second
+
+// Planner decides what grants should become. Only the leader of the keepers
+// runs one; it starts empty with every leadership and therefore waits a whole
+// lease before it takes anything back.
+type Planner struct {
+	started  time.Time
+	contacts map[string]contact
+	demand   map[string]map[string]float64
+	moved    map[string]time.Time
+}
+
+// contact is when an instance last asked.
+type contact struct {
+	instance Instance
+	heard    time.Time
+	lapsing  bool
+}
+
+// NewPlanner returns the planner of a leadership that begins now.
+func NewPlanner(now time.Time) *Planner {
+	return &Planner{
+		started:  now,
+		contacts: map[string]contact{},
+		demand:   map[string]map[string]float64{},
+		moved:    map[string]time.Time{},
+	}
+}
+
+// Renew notes that an instance asked. It reports false while the instance's
+// leased parts are being taken back: its lease must not be renewed then.
+func (p *Planner) Renew(now time.Time, instance Instance) bool {
+	known := p.contacts[instance.Name]
+	if known.lapsing {
+		return false
+	}
+	p.contacts[instance.Name] = contact{instance: instance, heard: now}
+	return true
+}
+
+// Demand notes what an instance was asked for, in tokens per second.
+func (p *Planner) Demand(instance, workspace string, rate float64) {
+	if p.demand[workspace] == nil {
+		p.demand[workspace] = map[string]float64{}
+	}
+	p.demand[workspace][instance] = rate
+}
+
+// Lapsed returns the instances whose leased parts must be taken back, and
+// refuses to renew them until Reclaimed is called.
+func (p *Planner) Lapsed(now time.Time, ledger *Ledger) []string {
+	holders := map[string]bool{}
+	for _, account := range ledger.Accounts {
+		for name, grant := range account.Grants {
+			if grant.Granted.Leased != (Amount{}) {
+				holders[name] = true
+			}
+		}
+	}
+	var lapsed []string
+	for name := range holders {
+		known := p.contacts[name]
+		heard := known.heard
+		if heard.Before(p.started) {
+			heard = p.started
+		}
+		if known.lapsing || now.Sub(heard) <= Lease+Drift {
+			continue
+		}
+		known.lapsing = true
+		p.contacts[name] = known
+		lapsed = append(lapsed, name)
+	}
+	return lapsed
+}
+
+// Reclaimed notes that a lapse was accepted.
+func (p *Planner) Reclaimed(instance string) {
+	delete(p.contacts, instance)
+}
+
+// Live returns the instances that asked within a lease.
+func (p *Planner) Live(now time.Time) []Instance {
+	var live []Instance
+	for _, known := range p.contacts {
+		if !known.lapsing && now.Sub(known.heard) <= Lease {
+			live = append(live, known.instance)
+		}
+	}
+	return live
+}
+
+// Plan returns the plan of a workspace, or nil when the ledger is as it
+// should be. Holders that are silent keep their floor.
+func (p *Planner) Plan(now time.Time, ledger *Ledger, workspace, homeRegion string) *Plan {
+	holders := Holders(workspace, homeRegion, p.Live(now))
+	current := ledger.Accounts[workspace]
+	if current == nil || len(holders) == 0 {
+		return nil
+	}
+	shares := p.shares(current, workspace, holders)
+	for name, grant := range current.Grants {
+		if _, planned := shares[name]; !planned {
+			shares[name] = p.silentShare(now, name, grant, homeRegion)
+		}
+	}
+	if !p.worthwhile(now, current, workspace, shares) {
+		return nil
+	}
+	p.moved[workspace] = now
+	return &Plan{Workspace: workspace, Shares: shares}
+}
+
+// silentShare keeps the floor of a holder that may be cut off, and ends the
+// grant of one that is alive but no longer chosen.
+func (p *Planner) silentShare(now time.Time, name string, grant *Grant, homeRegion string) Share {
+	known, heard := p.contacts[name]
+	alive := heard && now.Sub(known.heard) <= Lease
+	misplaced := homeRegion != "" && heard && known.instance.Region != homeRegion
+	if alive || misplaced {
+		return Share{}
+	}
+	return Share{Floor: grant.Granted.Floor.Min(grant.Target.Floor)}
+}
+
+// shares divides the whole: half evenly as floors, half by demand as leases.
+func (p *Planner) shares(current *account, workspace string, holders []Instance) map[string]Share {
+	floors := current.Whole.Scale(floorShare / float64(len(holders)))
+	leased := current.Whole.Scale(1 - floorShare)
+	total := 0.0
+	weights := map[string]float64{}
+	base := current.Whole.RateTokens()*0.1/float64(len(holders)) + 1
+	for _, holder := range holders {
+		weights[holder.Name] = p.demand[workspace][holder.Name] + base
+		total += weights[holder.Name]
+	}
+	shares := map[string]Share{}
+	for name, weight := range weights {
+		shares[name] = Share{Floor: floors, Leased: leased.Scale(weight / total)}
+	}
+	return shares
+}
+
+// worthwhile reports whether a plan changes who holds, repairs a shortfall
+// from what is free, or moves enough by demand.
+func (p *Planner) worthwhile(now time.Time, current *account, workspace string, shares map[string]Share) bool {
+	if len(shares) != len(current.Grants) {
+		return true
+	}
+	misplaced := Amount{}
+	for name, share := range shares {
+		grant := current.Grants[name]
+		if grant == nil || grant.Target.Floor != share.Floor || grant.Whole != current.Whole {
+			return true
+		}
+		misplaced = misplaced.Plus(share.Leased.Minus(grant.Target.Leased).floorAtZero())
+	}
+	if current.short() && current.free().floorAtZero() != (Amount{}) {
+		return now.Sub(p.moved[workspace]) >= time.Second
+	}
+	moving := float64(misplaced.Rate) > replanShare*(1-floorShare)*float64(current.Whole.Rate)
+	return moving && now.Sub(p.moved[workspace]) >= demandInterval
+}
+
+// short reports whether a grant is below its target while there is free.
+func (a *account) short() bool {
+	free := a.free()
+	for _, grant := range a.Grants {
+		missing := grant.Target.Sum().Minus(grant.Granted.Sum())
+		if missing.Rate > 0 && free.Rate > 0 || missing.Burst > 0 && free.Burst > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Forget drops what is known of workspaces that no longer exist.
+func (p *Planner) Forget(exists func(workspace string) bool) {
+	maps.DeleteFunc(p.demand, func(workspace string, _ map[string]float64) bool { return !exists(workspace) })
+	maps.DeleteFunc(p.moved, func(workspace string, _ time.Time) bool { return !exists(workspace) })
+}
--- /dev/null
+++ b/internal/keeper/ledger.go
@@ -0,0 +1,141 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/granter"
+	"github.com/boragehead/boragehead/internal/replicator"
+	"github.com/boragehead/boragehead/internal/tabler"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+)
+
+// planInterval is the time between two looks at the whole ledger.
+const planInterval = 500 * time.Millisecond
+
+// serveSync renews a holder's lease and tells it its grants. The lease is
+// renewed only after a quorum confirms that this keeper still leads: a new
+// leader waits out every lease that an old one may have renewed.
+func (k *Keeper) serveSync(ctx context.Context, from certifier.Identity, query SyncQuery) (SyncAnswer, error) {
+	if from.Name != query.Instance.Name {
+		return SyncAnswer{}, trace.AccessDenied("%q may not speak for %q", from.Name, query.Instance.Name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if len(query.Consents) > 0 {
+		if err := k.recordConsents(ctx, query); err != nil {
+			return SyncAnswer{}, err
+		}
+	}
+	if err := k.control.Read(ctx); err != nil {
+		return SyncAnswer{}, err
+	}
+	answer := SyncAnswer{Renewed: k.renew(query)}
+	k.machine.view(func(_ *tabler.State, ledger *granter.Ledger, index uint64) {
+		answer.Index = index
+		answer.Grants = ledger.Since(query.Instance.Name, query.Since)
+	})
+	return answer, nil
+}
+
+// renew notes the holder's demand and renews its lease, unless this
+// leadership is newer than the planner or the lease is being taken back.
+func (k *Keeper) renew(query SyncQuery) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	current := k.planner != nil && k.planTerm == k.control.Status().Term && k.control.Leads()
+	if !current || query.Surrender {
+		return false
+	}
+	for workspace, rate := range query.Demand {
+		k.planner.Demand(query.Instance.Name, workspace, rate)
+	}
+	return k.planner.Renew(time.Now(), query.Instance)
+}
+
+func (k *Keeper) recordConsents(ctx context.Context, query SyncQuery) error {
+	lower := granter.Lower{Instance: query.Instance.Name, Consents: query.Consents}
+	data, err := cbor.Marshal(command{Ledger: &granter.Command{Lower: &lower}})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = k.control.Propose(ctx, data)
+	return trace.Wrap(err)
+}
+
+// runPlanner plans the ledger while this keeper leads. One goroutine both
+// renews the planner with every term and proposes, so that nothing decided in
+// one leadership is proposed in another.
+func (k *Keeper) runPlanner(ctx context.Context) error {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			k.plan(ctx)
+		}
+	}
+}
+
+func (k *Keeper) plan(ctx context.Context) {
+	status := k.control.Status()
+	if status.Role != replicator.Leader {
+		return
+	}
+	now := time.Now()
+	k.mu.Lock()
+	if k.planner == nil || k.planTerm != status.Term {
+		k.planner = granter.NewPlanner(now)
+		k.planTerm = status.Term
+	}
+	k.mu.Unlock()
+	for _, c := range k.due(now) {
+		if err := k.proposePlan(ctx, status.Term, c); err != nil {
+			klog.V(2).InfoS("plan not accepted", "err", err)
+			return
+		}
+	}
+}
+
+// due returns the commands that the ledger needs now.
+func (k *Keeper) due(now time.Time) []granter.Command {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var due []granter.Command
+	k.machine.view(func(state *tabler.State, ledger *granter.Ledger, _ uint64) {
+		for _, instance := range k.planner.Lapsed(now, ledger) {
+			due = append(due, granter.Command{Lapse: &granter.Lapse{Instance: instance}})
+		}
+		for workspace := range ledger.Accounts {
+			home := state.Workspaces[workspace].Value.HomeRegion
+			if plan := k.planner.Plan(now, ledger, workspace, home); plan != nil {
+				due = append(due, granter.Command{Plan: plan})
+			}
+		}
+	})
+	return due
+}
+
+func (k *Keeper) proposePlan(ctx context.Context, term replicator.Term, c granter.Command) error {
+	data, err := cbor.Marshal(command{Ledger: &c})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := k.control.ProposeIn(ctx, term, data); err != nil {
+		return err
+	}
+	if c.Lapse != nil {
+		k.mu.Lock()
+		k.planner.Reclaimed(c.Lapse.Instance)
+		k.mu.Unlock()
+		klog.InfoS("leased grants taken back", "instance", c.Lapse.Instance)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/loader/settings.go
@@ -0,0 +1,125 @@
+// Package loader reads the settings files of the processes: strict YAML, in
+// which an unknown or wrong field is refused with its file, line and name.
+package loader
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Duration is a time.Duration written as text, such as "90s".
+type Duration time.Duration
+
+// UnmarshalText reads the duration in Go's notation.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	*d = Duration(parsed)
+	return err
+}
+
+// Or returns the duration, or a default when it is not set.
+func (d Duration) Or(value time.Duration) time.Duration {
+	if d == 0 {
+		return value
+	}
+	return time.Duration(d)
+}
+
+// Place is where a process runs.
+type Place struct {
+	// Name is unique in the fleet and stands in the process's certificate.
+	Name          string `yaml:"name" validate:"required,name"`
+	Region        string `yaml:"region" validate:"required,name"`
+	FailureDomain string `yaml:"failure-domain" validate:"required,name"`
+}
+
+// TLS names the files of mutual TLS between the system's processes.
+type TLS struct {
+	Authority   string `yaml:"authority" validate:"required"`
+	Certificate string `yaml:"certificate" validate:"required"`
+	Key         string `yaml:"key" validate:"required"`
+}
+
+// Keeper is a control instance as others reach it.
+type Keeper struct {
+	Name     string         `yaml:"name" validate:"required,name"`
+	Region   string         `yaml:"region" validate:"required,name"`
+	Address  netip.AddrPort `yaml:"address" validate:"required"`
+	Operator netip.AddrPort `yaml:"operator-address"`
+}
+
+// Peer is an entry instance that a starting one asks about the others.
+type Peer struct {
+	Name    string         `yaml:"name" validate:"required,name"`
+	Address netip.AddrPort `yaml:"address" validate:"required"`
+}
+
+// CallerTLS names the certificate that callers see; without it the callers'
+// port speaks plain HTTP.
+type CallerTLS struct {
+	Certificate string `yaml:"certificate" validate:"required"`
+	Key         string `yaml:"key" validate:"required"`
+}
+
+// Gate is the settings file of boragehead-gate.
+type Gate struct {
+	Place `yaml:",inline"`
+	// CallerAddress serves callers; PublicAddress is what the directory
+	// tells them, when it differs.
+	CallerAddress netip.AddrPort `yaml:"caller-address" validate:"required"`
+	PublicAddress netip.AddrPort `yaml:"public-address"`
+	CallerTLS     *CallerTLS     `yaml:"caller-tls"`
+	// BackendAddress hears the announcements of backend servers.
+	BackendAddress netip.AddrPort `yaml:"backend-address" validate:"required"`
+	PeerAddress    netip.AddrPort `yaml:"peer-address" validate:"required"`
+	TLS            TLS            `yaml:"tls"`
+	Keepers        []Keeper       `yaml:"keepers" validate:"required,min=1,max=7,unique=Name,dive"`
+	Peers          []Peer         `yaml:"peers" validate:"unique=Name,dive"`
+	// StopLimit bounds a graceful shutdown; default 10m.
+	StopLimit Duration `yaml:"stop-limit" validate:"gte=0"`
+	// StopLinger is how long a stopping instance serves on for callers that
+	// hold an old directory; default 11s.
+	StopLinger Duration `yaml:"stop-linger" validate:"gte=0"`
+	// MaxBody bounds a request's body, in bytes; default 4 MiB.
+	MaxBody int64 `yaml:"max-body" validate:"gte=0,lte=67108864"`
+}
+
+// Public returns the address that callers are told.
+func (g Gate) Public() netip.AddrPort {
+	if g.PublicAddress.IsValid() {
+		return g.PublicAddress
+	}
+	return g.CallerAddress
+}
+
+// KeeperProcess is the settings file of boragehead-keeper.
+type KeeperProcess struct {
+	Place           `yaml:",inline"`
+	PeerAddress     netip.AddrPort `yaml:"peer-address" validate:"required"`
+	OperatorAddress netip.AddrPort `yaml:"operator-address" validate:"required"`
+	DataFolder      string         `yaml:"data-folder" validate:"required"`
+	TLS             TLS            `yaml:"tls"`
+	Keepers         []Keeper       `yaml:"keepers" validate:"required,min=1,max=7,unique=Name,dive"`
+}
+
+// Client is the settings file of the operators' client.
+type Client struct {
+	TLS     TLS      `yaml:"tls"`
+	Keepers []Keeper `yaml:"keepers" validate:"required,min=1,max=7,unique=Name,dive"`
+}
+
+// Standin is the settings file of boragehead-standin.
+type Standin struct {
+	Name    string         `yaml:"name" validate:"required,name"`
+	Address netip.AddrPort `yaml:"address" validate:"required"`
+	// Announce are the backend addresses of the failure domain's instances.
+	Announce []netip.AddrPort `yaml:"announce" validate:"required,min=1"`
+	Pools    []string         `yaml:"pools" validate:"required,min=1,dive,name"`
+	Models   []string         `yaml:"models"`
+	// MaxRunning is how many requests are batched at once; default 8.
+	MaxRunning int `yaml:"max-running" validate:"gte=0"`
+	// TokenInterval is the time between two tokens; default 2ms.
+	TokenInterval Duration `yaml:"token-interval" validate:"gte=0"`
+	// ChecksFencing makes it refuse orders with an old fencing number.
+	ChecksFencing bool `yaml:"checks-fencing"`
+}
--- /dev/null
+++ b/internal/runner/gate.go
@@ -0,0 +1,245 @@
+// Package runner joins the packages into processes: it opens the ports, gives
+// each duty a goroutine, and stops them in order.
+package runner
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/boragehead/boragehead/internal/acceptor"
+	"github.com/boragehead/boragehead/internal/authenticator"
+	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/claimer"
+	"github.com/boragehead/boragehead/internal/director"
+	"github.com/boragehead/boragehead/internal/dispatcher"
+	"github.com/boragehead/boragehead/internal/exchanger"
+	"github.com/boragehead/boragehead/internal/gossiper"
+	"github.com/boragehead/boragehead/internal/keeper"
+	"github.com/boragehead/boragehead/internal/lender"
+	"github.com/boragehead/boragehead/internal/loader"
+	"github.com/boragehead/boragehead/internal/messenger"
+	"github.com/boragehead/boragehead/internal/reporter"
+	"github.com/boragehead/boragehead/internal/router"
+	"github.com/boragehead/boragehead/internal/sender"
+	"github.com/boragehead/boragehead/internal/watcher"
+	"github.com/gravitational/trace"
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+)
+
+const (
+	relayPath = sender.RelayPrefix
+	// sweepInterval is how often open requests are checked against the
+	// contact with their keys' homes.
+	sweepInterval = time.Second
+	// defaultStopLimit bounds a graceful shutdown.
+	defaultStopLimit = 10 * time.Minute
+	// defaultStopLinger outlasts the directories that callers hold.
+	defaultStopLinger = director.TTL + time.Second
+)
+
+// Gate is an entry instance.
+type Gate struct {
+	settings   loader.Gate
+	client     *messenger.Client
+	follower   *watcher.Follower
+	dispatcher *dispatcher.Dispatcher
+	fleet      *fleet
+	watch      *watch
+	ledger     *ledger
+	auth       *authenticator.Authenticator
+	reporter   *reporter.Reporter
+	registry   metrics.Registry
+	stopping   *stopping
+
+	callers  *http.Server
+	backends *http.Server
+	relays   *http.Server
+	mux      *messenger.Mux
+}
+
+// NewGate joins the parts of an entry instance.
+func NewGate(settings loader.Gate, credentials certifier.Credentials) *Gate {
+	g := &Gate{settings: settings, registry: metrics.NewRegistry(), stopping: &stopping{}}
+	g.client = messenger.NewClient(credentials)
+	g.follower = watcher.NewFollower(settings.Region)
+	g.dispatcher = dispatcher.New()
+	g.fleet = newFleet(settings, g.client, g.follower, g.dispatcher)
+	g.watch = newWatch(settings, g.client, g.follower, g.fleet)
+	g.auth = authenticator.New(settings.Region, g.follower, g.fleet)
+	g.reporter = reporter.New(g.registry)
+	g.join()
+	return g
+}
+
+// join builds the chains of filters and the handlers of the ports.
+func (g *Gate) join() {
+	seed := uint64(time.Now().UnixNano())
+	maxBody := g.settings.MaxBody
+	if maxBody == 0 {
+		maxBody = acceptor.DefaultMaxBody
+	}
+	p := newPeers(g.settings, g.client, g.fleet, g.follower)
+	lend := lender.New(p)
+	route := router.New(g.settings.Region, g.follower, g.fleet, maxBody, seed)
+	send := sender.New(g.dispatcher, p, g.reporter, seed)
+	g.ledger = newLedger(g.settings, g.client, g.follower, lend)
+
+	chain := exchanger.Chain(send.Handle, g.auth, route, claimer.NewFilter(p, p), lend)
+	relayed := acceptor.New(func(ctx context.Context, x *exchanger.Exchange) *exchanger.Refusal {
+		if sender.Once(x.Request) {
+			x.Attempt = x.ID
+		}
+		return route.HandleRelayed(ctx, x, send.Handle)
+	}, g.reporter)
+
+	callers := http.NewServeMux()
+	callers.Handle("GET /v1/instances", director.New(g.settings.Region, g.fleet, g.auth))
+	callers.HandleFunc("GET /v1/metrics", g.serveMetrics)
+	callers.HandleFunc("GET /v1/health", g.serveHealth)
+	callers.Handle("/", acceptor.New(chain, g.reporter))
+	g.callers = &http.Server{
+		Handler:           g.stopping.wrap(callers),
+		ReadHeaderTimeout: acceptor.HeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	announcements := http.NewServeMux()
+	announcements.Handle("POST /v1/backends", &backendHandler{dispatcher: g.dispatcher})
+	g.backends = &http.Server{Handler: announcements, ReadHeaderTimeout: backendHeaderTimeout}
+	g.relays = &http.Server{
+		Handler:           &relayHandler{follower: g.follower, serve: relayed.Serve},
+		ReadHeaderTimeout: backendHeaderTimeout,
+	}
+	g.register(lend)
+}
+
+// maxHeaderBytes is where net/http itself stops reading; the acceptor's own,
+// lower bound answers in the gateway's form.
+const maxHeaderBytes = 1 << 20
+
+func (g *Gate) register(lend *lender.Lender) {
+	gates := []certifier.Role{certifier.RoleGate}
+	keepers := []certifier.Role{certifier.RoleKeeper}
+	g.mux = &messenger.Mux{}
+	messenger.Handle(g.mux, methodGossip, gates, g.fleet.serveGossip)
+	messenger.Handle(g.mux, keeper.MethodWatch, gates, g.watch.serve)
+	messenger.Handle(g.mux, keeper.MethodBurn, keepers,
+		func(context.Context, certifier.Identity, keeper.BurnQuery) (reporter.Counts, error) {
+			return g.reporter.Counts(g.settings.Region), nil
+		})
+	registerLender(g.mux, lend)
+}
+
+// Run serves until a signal has stopped the instance gracefully.
+func (g *Gate) Run(ctx context.Context, credentials certifier.Credentials) error {
+	ports, err := g.listen()
+	if err != nil {
+		return err
+	}
+	peerServer := messenger.NewServer(ports.peers, credentials, g.mux)
+	defer g.client.Close()
+	actors := newActors()
+	actors.add("dispatcher", g.dispatcher.Run)
+	actors.add("gossip", g.fleet.run)
+	actors.add("ledger", g.ledger.run)
+	actors.add("configurator", g.runConfigurator)
+	actors.add("sweeper", g.runSweeper)
+	for _, k := range g.settings.Keepers {
+		actors.add("watch-"+k.Name, func(ctx context.Context) error { return g.watch.followKeeper(ctx, k) })
+	}
+	for slot := range 2 {
+		actors.add("watch-lead", func(ctx context.Context) error { return g.watch.followLead(ctx, slot) })
+	}
+	actors.add("peers", peerServer.Run)
+	actors.serve("relays", g.relays, peerServer.Streams())
+	actors.serve("backends", g.backends, ports.backends)
+	actors.serve("callers", g.callers, ports.callers)
+	klog.InfoS("entry instance serves", "name", g.settings.Name, "callers", g.settings.CallerAddress.String())
+	return actors.run(ctx, g.stop)
+}
+
+// ports are the listeners of an entry instance.
+type ports struct {
+	callers, backends, peers net.Listener
+}
+
+func (g *Gate) listen() (ports, error) {
+	var p ports
+	var err error
+	if p.callers, err = net.Listen("tcp", g.settings.CallerAddress.String()); err != nil {
+		return p, trace.Wrap(err, "caller-address")
+	}
+	if p.backends, err = net.Listen("tcp", g.settings.BackendAddress.String()); err != nil {
+		return p, trace.Wrap(err, "backend-address")
+	}
+	if p.peers, err = net.Listen("tcp", g.settings.PeerAddress.String()); err != nil {
+		return p, trace.Wrap(err, "peer-address")
+	}
+	if files := g.settings.CallerTLS; files != nil {
+		pair, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+		if err != nil {
+			return p, trace.Wrap(err, "caller-tls")
+		}
+		p.callers = tls.NewListener(p.callers, &tls.Config{
+			MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}, NextProtos: []string{"http/1.1"},
+		})
+	}
+	return p, nil
+}
+
+// runConfigurator puts every new configuration in force.
+func (g *Gate) runConfigurator(ctx context.Context) error {
+	for {
+		changed := g.follower.Changed()
+		g.ledger.configured(g.follower.View())
+		g.auth.Sweep()
+		select {
+		case <-changed:
+			klog.V(1).InfoS("configuration in force", "revision", g.follower.View().Revision)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (g *Gate) runSweeper(ctx context.Context) error {
+	for ctx.Err() == nil {
+		g.auth.Sweep()
+		pause(ctx, sweepInterval)
+	}
+	return nil
+}
+
+// stop is the graceful shutdown: leave the directory, tell the others, hand
+// leased grants back, serve on while callers still hold old directories, and
+// close when the last request has ended.
+func (g *Gate) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, g.settings.StopLimit.Or(defaultStopLimit))
+	defer cancel()
+	klog.InfoS("stopping", "open-requests", g.auth.Open())
+	g.stopping.begin()
+	g.fleet.announce(ctx, gossiper.StateStopping)
+	g.ledger.surrender(ctx)
+	pause(ctx, g.settings.StopLinger.Or(defaultStopLinger))
+	for _, server := range []*http.Server{g.callers, g.relays, g.backends} {
+		if err := server.Shutdown(ctx); err != nil {
+			klog.ErrorS(err, "requests cut at the stop limit")
+		}
+	}
+}
+
+func (g *Gate) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(g.registry, w)
+}
+
+func (g *Gate) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if g.follower.View().Revision == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/runner/keeper.go
@@ -0,0 +1,62 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/journaler"
+	"github.com/boragehead/boragehead/internal/keeper"
+	"github.com/boragehead/boragehead/internal/loader"
+	"github.com/boragehead/boragehead/internal/messenger"
+	"github.com/boragehead/boragehead/internal/operator"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+)
+
+// keeperStopLimit bounds the graceful shutdown of a keeper.
+const keeperStopLimit = 10 * time.Second
+
+// RunKeeper serves a control instance until a signal has stopped it.
+func RunKeeper(ctx context.Context, settings loader.KeeperProcess, credentials certifier.Credentials) error {
+	disk, err := journaler.OpenFolder(settings.DataFolder)
+	if err != nil {
+		return trace.Wrap(err, "data-folder")
+	}
+	client := messenger.NewClient(credentials)
+	defer client.Close()
+	k, err := keeper.New(settings, disk, client)
+	if err != nil {
+		return trace.Wrap(err, "data-folder")
+	}
+	peers, err := net.Listen("tcp", settings.PeerAddress.String())
+	if err != nil {
+		return trace.Wrap(err, "peer-address")
+	}
+	operators, err := net.Listen("tcp", settings.OperatorAddress.String())
+	if err != nil {
+		return trace.Wrap(err, "operator-address")
+	}
+	mux := &messenger.Mux{}
+	k.Register(mux)
+	api := &http.Server{
+		Handler:           operator.NewHandler(k),
+		TLSConfig:         credentials.Server("http/1.1"),
+		ReadHeaderTimeout: backendHeaderTimeout,
+	}
+	actors := newActors()
+	for _, duty := range k.Duties() {
+		actors.add(duty.Name, duty.Run)
+	}
+	actors.add("peers", messenger.NewServer(peers, credentials, mux).Run)
+	actors.serveTLS("operators", api, operators)
+	klog.InfoS("keeper serves", "name", settings.Name, "operators", settings.OperatorAddress.String())
+	return actors.run(ctx, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, keeperStopLimit)
+		defer cancel()
+		k.HandOver(ctx)
+		_ = api.Shutdown(ctx)
+	})
+}
--- /dev/null
+++ b/internal/runner/standin.go
@@ -0,0 +1,60 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/boragehead/boragehead/internal/imitator"
+	"github.com/boragehead/boragehead/internal/loader"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+)
+
+const (
+	defaultMaxRunning    = 8
+	defaultTokenInterval = 2 * time.Millisecond
+	// standinStopLimit bounds the graceful shutdown of a stand-in.
+	standinStopLimit = 30 * time.Second
+)
+
+// RunStandin serves a stand-in backend server until a signal has stopped it.
+func RunStandin(ctx context.Context, settings loader.Standin) error {
+	listener, err := net.Listen("tcp", settings.Address.String())
+	if err != nil {
+		return trace.Wrap(err, "address")
+	}
+	server := &imitator.Server{Name: settings.Name, TokenInterval: settings.TokenInterval.Or(defaultTokenInterval)}
+	maxRunning := settings.MaxRunning
+	if maxRunning == 0 {
+		maxRunning = defaultMaxRunning
+	}
+	announcer := &imitator.Announcer{
+		Server: server, Address: settings.Address, Instances: settings.Announce, Pools: settings.Pools,
+		Models: settings.Models, MaxRunning: maxRunning, ChecksFencing: settings.ChecksFencing,
+	}
+	announcing, leave := context.WithCancel(ctx)
+	defer leave()
+	service := &http.Server{Handler: server, ReadHeaderTimeout: backendHeaderTimeout}
+	actors := newActors()
+	actors.add("announcer", func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, leave)
+		defer stop()
+		if err := announcer.Run(announcing); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return nil
+	})
+	actors.serve("service", service, listener)
+	klog.InfoS("stand-in serves", "name", settings.Name, "address", settings.Address.String())
+	return actors.run(ctx, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, standinStopLimit)
+		defer cancel()
+		leave()
+		announcer.Tell(ctx, "leaving")
+		pause(ctx, time.Second)
+		_ = service.Shutdown(ctx)
+	})
+}
