--- a/cmd/boragehead/certificates.go
+++ b/cmd/boragehead/certificates.go
@@ -6,10 +6,11 @@
 	"net"
 	"strings"
 
-	"github.com/boragehead/boragehead/internal/certifier"
-	"github.com/boragehead/boragehead/internal/commander"
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
+
+	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/commander"
 )
 
 const (
--- a/cmd/boragehead/fleet.go
+++ b/cmd/boragehead/fleet.go
@@ -5,10 +5,11 @@
 	"io"
 	"strings"
 
+	"github.com/urfave/cli/v3"
+
 	"github.com/boragehead/boragehead/internal/keeper"
 	"github.com/boragehead/boragehead/internal/operator"
 	"github.com/boragehead/boragehead/internal/reporter"
-	"github.com/urfave/cli/v3"
 )
 
 const (
--- a/cmd/boragehead/keys.go
+++ b/cmd/boragehead/keys.go
@@ -5,10 +5,11 @@
 	"io"
 	"strings"
 
-	"github.com/boragehead/boragehead/internal/operator"
-	"github.com/boragehead/boragehead/internal/tabler"
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
+
+	"github.com/boragehead/boragehead/internal/operator"
+	"github.com/boragehead/boragehead/internal/tabler"
 )
 
 const flagHome = "home"
--- a/cmd/boragehead/main.go
+++ b/cmd/boragehead/main.go
@@ -2,8 +2,9 @@
 package main
 
 import (
-	"github.com/boragehead/boragehead/internal/commander"
 	"github.com/urfave/cli/v3"
+
+	"github.com/boragehead/boragehead/internal/commander"
 )
 
 func main() {
--- a/cmd/boragehead/output.go
+++ b/cmd/boragehead/output.go
@@ -9,11 +9,12 @@
 	"io"
 	"text/tabwriter"
 
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
 	"github.com/boragehead/boragehead/internal/commander"
 	"github.com/boragehead/boragehead/internal/loader"
 	"github.com/boragehead/boragehead/internal/operator"
-	"github.com/gravitational/trace"
-	"github.com/urfave/cli/v3"
 )
 
 // The names of the common flags, and what --output takes.
--- a/cmd/boragehead/tables.go
+++ b/cmd/boragehead/tables.go
@@ -5,10 +5,11 @@
 	"io"
 	"os"
 
-	"github.com/boragehead/boragehead/internal/operator"
-	"github.com/boragehead/boragehead/internal/tabler"
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
+
+	"github.com/boragehead/boragehead/internal/operator"
+	"github.com/boragehead/boragehead/internal/tabler"
 )
 
 const (
@@ -133,4 +134,3 @@
 	}
 	return show(command, result, func(w io.Writer) { line(w, "accepted as revision %d (change %s)", result.Revision, id) })
 }
-
--- a/examples/demo/main.go
+++ b/examples/demo/main.go
@@ -20,18 +20,18 @@
 	example := flag.String("example", "examples/co-op", "the folder of the example")
 	folder := flag.String("folder", "build/demo", "the folder for state and logs")
 	flag.Parse()
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer cancel()
-	ctx, cancelLimit := context.WithTimeout(ctx, limit)
-	defer cancelLimit()
-	if err := run(ctx, *binaries, *example, *folder); err != nil {
+	if err := run(*binaries, *example, *folder); err != nil {
 		fmt.Fprintln(os.Stderr, "demo failed:", err)
 		os.Exit(1)
 	}
 	fmt.Println("\ndemo done: all processes stopped")
 }
 
-func run(ctx context.Context, binaries, example, folder string) (err error) {
+func run(binaries, example, folder string) (err error) {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	ctx, cancelLimit := context.WithTimeout(ctx, limit)
+	defer cancelLimit()
 	f, err := newFleet(binaries, example, folder)
 	if err != nil {
 		return err
--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -11,8 +11,9 @@
 	"net/http"
 	"time"
 
-	"github.com/boragehead/boragehead/internal/exchanger"
 	"k8s.io/klog/v2"
+
+	"github.com/boragehead/boragehead/internal/exchanger"
 )
 
 // Bounds of what callers may send.
--- a/internal/acceptor/parse.go
+++ b/internal/acceptor/parse.go
@@ -6,8 +6,9 @@
 	"fmt"
 	"math"
 
-	"github.com/boragehead/boragehead/internal/exchanger"
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/boragehead/boragehead/internal/exchanger"
 )
 
 // maxOutputTokens bounds what a request may ask for.
--- a/internal/claimer/filter.go
+++ b/internal/claimer/filter.go
@@ -6,9 +6,10 @@
 	"net/http"
 	"time"
 
-	"github.com/boragehead/boragehead/internal/exchanger"
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
+
+	"github.com/boragehead/boragehead/internal/exchanger"
 )
 
 // HeaderIdempotencyKey is the header in which callers name their work.
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -11,10 +11,11 @@
 	"runtime/debug"
 	"strconv"
 
-	"github.com/boragehead/boragehead/internal/loader"
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
+
+	"github.com/boragehead/boragehead/internal/loader"
 )
 
 // The exit codes.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -5,10 +5,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/boragehead/boragehead/internal/carrier"
 	"github.com/boragehead/boragehead/internal/gossiper"
 	"github.com/boragehead/boragehead/internal/tracker"
-	"github.com/gravitational/trace"
 )
 
 const (
--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -248,7 +248,7 @@
 	work := tracker.Work{Requests: 1, Tokens: request.OutputTokens}
 	server.Own.Requests += work.Requests
 	server.Own.Tokens += work.Tokens
-	m.running[request.ID] = running{server: server.Announcement.Server, pool: pool, tokens: work.Tokens}
+	m.running[request.ID] = running{server: server.Name, pool: pool, tokens: work.Tokens}
 	m.cmds = append(m.cmds, Assign{ID: request.ID, Pool: pool, Server: server.Announcement})
 }
 
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -5,6 +5,9 @@
 	"errors"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/claimer"
 	"github.com/boragehead/boragehead/internal/granter"
@@ -12,8 +15,6 @@
 	"github.com/boragehead/boragehead/internal/replicator"
 	"github.com/boragehead/boragehead/internal/tabler"
 	"github.com/boragehead/boragehead/internal/watcher"
-	"github.com/fxamacker/cbor/v2"
-	"github.com/gravitational/trace"
 )
 
 // Errors of the keepers that keep their meaning over a call.
@@ -187,11 +188,11 @@
 // News implements watcher.Source.
 func (k *Keeper) News(query watcher.Query) (watcher.News, bool) {
 	news := watcher.News{Region: k.settings.Region}
-	any := false
+	fresh := false
 	k.machine.view(func(state *tabler.State, _ *granter.Ledger, _ uint64) {
 		if query.Entry.Revision < state.Revision {
 			news.Delta = state.Delta(query.Entry.Revision)
-			any = true
+			fresh = true
 		}
 		news.Vouched = k.vouched(state)
 		for _, id := range k.revoked.missing(query.Revoked) {
@@ -200,7 +201,7 @@
 			}
 		}
 	})
-	return news, any || len(news.Revoked) > 0
+	return news, fresh || len(news.Revoked) > 0
 }
 
 // vouched returns the regions without keepers, while a quorum is in contact:
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -7,14 +7,15 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
 	"github.com/boragehead/boragehead/internal/granter"
 	"github.com/boragehead/boragehead/internal/journaler"
 	"github.com/boragehead/boragehead/internal/loader"
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/replicator"
 	"github.com/boragehead/boragehead/internal/tabler"
-	"github.com/gravitational/trace"
-	"k8s.io/klog/v2"
 )
 
 // The names of the replicated groups.
--- a/internal/keeper/ledger.go
+++ b/internal/keeper/ledger.go
@@ -4,13 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/granter"
 	"github.com/boragehead/boragehead/internal/replicator"
 	"github.com/boragehead/boragehead/internal/tabler"
-	"github.com/fxamacker/cbor/v2"
-	"github.com/gravitational/trace"
-	"k8s.io/klog/v2"
 )
 
 // planInterval is the time between two looks at the whole ledger.
--- a/internal/keeper/machine.go
+++ b/internal/keeper/machine.go
@@ -3,13 +3,14 @@
 import (
 	"sync"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
 	"github.com/boragehead/boragehead/internal/claimer"
 	"github.com/boragehead/boragehead/internal/granter"
 	"github.com/boragehead/boragehead/internal/replicator"
 	"github.com/boragehead/boragehead/internal/tabler"
-	"github.com/fxamacker/cbor/v2"
-	"github.com/gravitational/trace"
-	"k8s.io/klog/v2"
 )
 
 // command is one entry of the control group's log.
--- a/internal/keeper/members.go
+++ b/internal/keeper/members.go
@@ -5,10 +5,11 @@
 	"slices"
 	"strings"
 
+	"github.com/gravitational/trace"
+
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/replicator"
-	"github.com/gravitational/trace"
 )
 
 type storeQuery struct{}
--- a/internal/keeper/operate.go
+++ b/internal/keeper/operate.go
@@ -7,14 +7,15 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
 	"github.com/boragehead/boragehead/internal/gossiper"
 	"github.com/boragehead/boragehead/internal/granter"
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/replicator"
 	"github.com/boragehead/boragehead/internal/reporter"
 	"github.com/boragehead/boragehead/internal/tabler"
-	"github.com/fxamacker/cbor/v2"
-	"github.com/gravitational/trace"
 )
 
 // MethodBurn is the call by which keepers collect counts.
--- a/internal/keeper/revoke.go
+++ b/internal/keeper/revoke.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/gossiper"
 	"github.com/boragehead/boragehead/internal/granter"
@@ -13,8 +16,6 @@
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/tabler"
 	"github.com/boragehead/boragehead/internal/watcher"
-	"github.com/gravitational/trace"
-	"k8s.io/klog/v2"
 )
 
 const (
--- a/internal/loader/load.go
+++ b/internal/loader/load.go
@@ -10,9 +10,10 @@
 	"regexp"
 	"strings"
 
-	"github.com/boragehead/boragehead/internal/locator"
 	"github.com/go-playground/validator/v10"
 	"github.com/gravitational/trace"
+
+	"github.com/boragehead/boragehead/internal/locator"
 )
 
 // ErrInvalid marks settings that are refused. Test for it with errors.Is.
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -11,9 +11,10 @@
 	"sync"
 	"time"
 
-	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+
+	"github.com/boragehead/boragehead/internal/certifier"
 )
 
 // ErrUnreachable means that the other process could not be reached, or that
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -13,9 +13,10 @@
 	"sync"
 	"time"
 
-	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+
+	"github.com/boragehead/boragehead/internal/certifier"
 )
 
 // The protocols of the peer port.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -9,13 +9,14 @@
 	"net/http"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/keeper"
 	"github.com/boragehead/boragehead/internal/loader"
 	"github.com/boragehead/boragehead/internal/locator"
 	"github.com/boragehead/boragehead/internal/reporter"
 	"github.com/boragehead/boragehead/internal/tabler"
-	"github.com/gravitational/trace"
 )
 
 // ErrUnreachable means that no keeper of the settings answered.
@@ -129,7 +130,7 @@
 			return got, trace.Wrap(err)
 		}
 	}
-	last := error(ErrUnreachable)
+	last := ErrUnreachable
 	for _, k := range c.keepers {
 		err := c.ask(ctx, k, method, path, body, &got)
 		if err == nil {
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -8,12 +8,13 @@
 	"errors"
 	"net/http"
 
+	"github.com/gravitational/trace"
+
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/keeper"
 	"github.com/boragehead/boragehead/internal/locator"
 	"github.com/boragehead/boragehead/internal/reporter"
 	"github.com/boragehead/boragehead/internal/tabler"
-	"github.com/gravitational/trace"
 )
 
 // Control is what the interface does its work with.
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -11,8 +11,9 @@
 	"slices"
 	"time"
 
-	"github.com/boragehead/boragehead/internal/tracker"
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/boragehead/boragehead/internal/tracker"
 )
 
 // What is assumed of a server until it has been seen at work.
@@ -63,7 +64,7 @@
 	bestScore := 0.0
 	home := affine(servers, request.Prefix)
 	for _, server := range servers {
-		if slots(now, server) <= 0 || slices.Contains(request.Tried, server.Announcement.Server) {
+		if slots(now, server) <= 0 || slices.Contains(request.Tried, server.Name) {
 			continue
 		}
 		score := p.score(server, request, server == home)
@@ -85,7 +86,7 @@
 	occupied := float64(server.Own.Requests+server.Others().Requests) / float64(max(server.MaxRunning, 1))
 	wait := occupied * work / speed
 	prefill := float64(request.PromptTokens)
-	cached := home || p.Hints != nil && p.Hints(server.Announcement.Server, request.Prefix)
+	cached := home || p.Hints != nil && p.Hints(server.Name, request.Prefix)
 	if cached {
 		prefill -= (1 - cachedShare) * float64(request.PrefixTokens)
 	}
@@ -100,7 +101,7 @@
 	var best *tracker.Server
 	var bestHash uint64
 	for _, server := range servers {
-		hash := mix(xxhash.Sum64String(server.Announcement.Server) ^ prefix)
+		hash := mix(xxhash.Sum64String(server.Name) ^ prefix)
 		if best == nil || hash > bestHash {
 			best = server
 			bestHash = hash
--- a/internal/replicator/group.go
+++ b/internal/replicator/group.go
@@ -6,10 +6,11 @@
 	"sync"
 	"time"
 
-	"github.com/boragehead/boragehead/internal/carrier"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
+
+	"github.com/boragehead/boragehead/internal/carrier"
 )
 
 // Machine is the state that a group keeps in agreement. It is called by one
--- a/internal/replicator/leader.go
+++ b/internal/replicator/leader.go
@@ -16,14 +16,13 @@
 	m.appendEntry(Entry{Kind: KindNoop})
 }
 
-func (m *Model) appendEntry(entry Entry) Entry {
+func (m *Model) appendEntry(entry Entry) {
 	entry.Index = m.log.last() + 1
 	entry.Term = m.state.Term
 	m.log.put([]Entry{entry})
 	m.emit(Persist{Entries: []Entry{entry}})
 	m.broadcast()
 	m.advance()
-	return entry
 }
 
 func (m *Model) tickLeader() {
@@ -84,6 +83,8 @@
 		Kind: MessageAppend, To: store, LogIndex: before, LogTerm: term,
 		Entries: m.log.slice(before, upto), Commit: m.commit, Round: m.round,
 	})
+	// What was sent is taken as received until the follower says otherwise.
+	peer.next = upto + 1
 }
 
 // snapshotTo sends a follower that is too far behind the snapshot, and a bare
@@ -163,8 +164,14 @@
 	if !known || term != m.state.Term {
 		return
 	}
+	if index <= m.commit {
+		return
+	}
 	m.commitTo(index)
 	m.confirmReads()
+	if m.role == Leader {
+		m.broadcast() // followers learn at once what is accepted
+	}
 }
 
 func (m *Model) commitTo(index Index) {
--- a/internal/replicator/store.go
+++ b/internal/replicator/store.go
@@ -7,9 +7,10 @@
 	"io/fs"
 	"slices"
 
-	"github.com/boragehead/boragehead/internal/journaler"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+
+	"github.com/boragehead/boragehead/internal/journaler"
 )
 
 // ErrDiskLost means that part of a disk's contents is missing. The store must
--- a/internal/reporter/counts.go
+++ b/internal/reporter/counts.go
@@ -21,9 +21,6 @@
 // bucketTime is the time that one bucket stands for.
 const bucketTime = time.Minute
 
-// bucketCount covers the longest window.
-const bucketCount = int(windowLong / bucketTime)
-
 // Count is a number of requests and how many of them missed the objective.
 type Count struct {
 	Total int64 `cbor:"t" json:"total"`
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -7,8 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/boragehead/boragehead/internal/exchanger"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/boragehead/boragehead/internal/exchanger"
 )
 
 const (
--- a/internal/runner/backends.go
+++ b/internal/runner/backends.go
@@ -85,7 +85,7 @@
 
 func (a announcement) tracked() tracker.Announcement {
 	return tracker.Announcement{
-		Server: a.Server, Address: a.Address, Pools: a.Pools, Models: a.Models, State: a.State,
+		Name: a.Server, Address: a.Address, Pools: a.Pools, Models: a.Models, State: a.State,
 		Incarnation: a.Incarnation, Counter: a.Counter, MaxRunning: a.MaxRunning,
 		Load:          tracker.Load{Running: a.Load.Running, Waiting: a.Load.Waiting, Tokens: a.Load.Tokens},
 		ChecksFencing: a.ChecksFencing,
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/director"
 	"github.com/boragehead/boragehead/internal/dispatcher"
@@ -14,7 +16,6 @@
 	"github.com/boragehead/boragehead/internal/loader"
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/watcher"
-	"k8s.io/klog/v2"
 )
 
 const (
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -9,6 +9,10 @@
 	"net/http"
 	"time"
 
+	"github.com/gravitational/trace"
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
 	"github.com/boragehead/boragehead/internal/acceptor"
 	"github.com/boragehead/boragehead/internal/authenticator"
 	"github.com/boragehead/boragehead/internal/certifier"
@@ -25,9 +29,6 @@
 	"github.com/boragehead/boragehead/internal/router"
 	"github.com/boragehead/boragehead/internal/sender"
 	"github.com/boragehead/boragehead/internal/watcher"
-	"github.com/gravitational/trace"
-	"github.com/rcrowley/go-metrics"
-	"k8s.io/klog/v2"
 )
 
 const (
--- a/internal/runner/keeper.go
+++ b/internal/runner/keeper.go
@@ -6,14 +6,15 @@
 	"net/http"
 	"time"
 
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/journaler"
 	"github.com/boragehead/boragehead/internal/keeper"
 	"github.com/boragehead/boragehead/internal/loader"
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/operator"
-	"github.com/gravitational/trace"
-	"k8s.io/klog/v2"
 )
 
 // keeperStopLimit bounds the graceful shutdown of a keeper.
--- a/internal/runner/ledger.go
+++ b/internal/runner/ledger.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
 	"github.com/boragehead/boragehead/internal/granter"
 	"github.com/boragehead/boragehead/internal/keeper"
 	"github.com/boragehead/boragehead/internal/lender"
@@ -12,8 +15,6 @@
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/tabler"
 	"github.com/boragehead/boragehead/internal/watcher"
-	"github.com/gravitational/trace"
-	"k8s.io/klog/v2"
 )
 
 // syncPause is the shortest time between two syncs with the ledger.
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/claimer"
 	"github.com/boragehead/boragehead/internal/exchanger"
@@ -20,7 +22,6 @@
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/router"
 	"github.com/boragehead/boragehead/internal/watcher"
-	"github.com/gravitational/trace"
 )
 
 // The calls between entry instances.
@@ -194,7 +195,7 @@
 	r.URL.Path = path
 	x := &exchanger.Exchange{Writer: w, Request: r, ID: id, Arrived: time.Now(), Relayed: true}
 	view := h.follower.View()
-	known := false
+	var known bool
 	if x.Route, known = view.RouteByName(r.Header.Get(exchanger.HeaderRoute)); !known {
 		return nil, exchanger.Refuse(http.StatusMisdirectedRequest, exchanger.CodeNoRoute, "the route is not known here")
 	}
--- a/internal/runner/standin.go
+++ b/internal/runner/standin.go
@@ -6,10 +6,11 @@
 	"net/http"
 	"time"
 
-	"github.com/boragehead/boragehead/internal/imitator"
-	"github.com/boragehead/boragehead/internal/loader"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
+
+	"github.com/boragehead/boragehead/internal/imitator"
+	"github.com/boragehead/boragehead/internal/loader"
 )
 
 const (
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -135,7 +135,7 @@
 	if !ok {
 		return notRun, given(cmd)
 	}
-	x.Result.Server = assigned.Server.Server
+	x.Result.Server = assigned.Server.Name
 	x.Result.Pool = assigned.Pool
 	started := time.Now()
 	target := target{base: "http://" + assigned.Server.Address.String(), transport: s.transport(x)}
--- a/internal/tabler/check.go
+++ b/internal/tabler/check.go
@@ -2,10 +2,11 @@
 
 import (
 	"fmt"
-	"github.com/boragehead/boragehead/internal/locator"
 	"math"
 	"regexp"
 	"strings"
+
+	"github.com/boragehead/boragehead/internal/locator"
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
--- a/internal/tabler/command.go
+++ b/internal/tabler/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+
 	"github.com/boragehead/boragehead/internal/locator"
 
 	"github.com/fxamacker/cbor/v2"
@@ -184,6 +185,6 @@
 		return Result{Revision: s.Revision}
 	}
 	s.Revision++
-	put(&s.Instances, s.Revision, change.Name, Instance{Name: change.Name, Draining: change.Draining})
+	put(&s.Instances, s.Revision, change.Name, Instance(change))
 	return Result{Revision: s.Revision}
 }
--- a/internal/tabler/parse.go
+++ b/internal/tabler/parse.go
@@ -3,9 +3,10 @@
 import (
 	"errors"
 
-	"github.com/boragehead/boragehead/internal/locator"
 	"github.com/goccy/go-yaml"
 	"github.com/gravitational/trace"
+
+	"github.com/boragehead/boragehead/internal/locator"
 )
 
 // ErrInvalid marks tables that are refused. Test for it with errors.Is.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -30,7 +30,8 @@
 
 // Announcement is what a server says of itself.
 type Announcement struct {
-	Server  string
+	// Name is unique among the servers of the failure domain.
+	Name    string
 	Address netip.AddrPort
 	Pools   []string
 	Models  []string
@@ -103,9 +104,9 @@
 	if t.servers == nil {
 		t.servers = map[string]*Server{}
 	}
-	known, exists := t.servers[announcement.Server]
+	known, exists := t.servers[announcement.Name]
 	if !exists {
-		t.servers[announcement.Server] = &Server{Announcement: announcement, Heard: now, Since: now}
+		t.servers[announcement.Name] = &Server{Announcement: announcement, Heard: now, Since: now}
 		return true
 	}
 	if !newer(announcement, known.Announcement) {
@@ -148,7 +149,7 @@
 			servers = append(servers, server)
 		}
 	}
-	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.Announcement.Server, b.Announcement.Server) })
+	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.Name, b.Name) })
 	return servers
 }
 
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -62,8 +62,8 @@
 	defer cancel()
 	for {
 		changed := source.Changed()
-		news, any := source.News(query)
-		if any {
+		news, fresh := source.News(query)
+		if fresh {
 			return news
 		}
 		select {
@@ -151,18 +151,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	news := News{Region: f.region}
-	any := false
+	fresh := false
 	if query.Entry.Revision < f.state.Revision {
 		news.Delta = f.state.Delta(query.Entry.Revision)
-		any = true
+		fresh = true
 	}
 	for _, id := range f.revoked {
 		if !slices.Contains(query.Revoked, id) {
 			news.Revoked = append(news.Revoked, id)
-			any = true
+			fresh = true
 		}
 	}
-	return news, any
+	return news, fresh
 }
 
 // Changed implements Source.
