--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -117,8 +117,7 @@
 		return
 	}
 	if preVote {
-		granted := message.Term > m.state.Term && m.upToDate(message)
-		m.answerVote(message, message.Term, granted)
+		m.answerPreVote(message)
 		return
 	}
 	if message.Term > m.state.Term {
@@ -134,6 +133,16 @@
 	m.answerVote(message, m.state.Term, granted)
 }
 
+// answerPreVote grants the term that was asked for, or refuses with this
+// store's own: a refused pre-vote must raise no term.
+func (m *Model) answerPreVote(message Message) {
+	if message.Term > m.state.Term && m.upToDate(message) {
+		m.answerVote(message, message.Term, true)
+		return
+	}
+	m.answerVote(message, m.state.Term, false)
+}
+
 // leaderAlive reports whether a leader was heard within the shortest election
 // timeout. Such a store refuses to elect another: a store that returns from a
 // long isolation disturbs nobody.
--- a/internal/replicator/group.go
+++ b/internal/replicator/group.go
@@ -92,7 +92,7 @@
 		name:      name,
 		identity:  identity,
 		store:     store,
-		model:     New(identity.Store, time.Now(), stored, options...),
+		model:     New(identity.Store, stored, options...),
 		machine:   machine,
 		transport: transport,
 		inbox:     carrier.NewRing[Msg](inboxSize),
@@ -169,7 +169,7 @@
 		g.waiting[request.id] = request.answer
 		msg = request.Msg
 	}
-	return g.model.Update(time.Now(), msg)
+	return g.model.Update(g.model.clock(), msg)
 }
 
 // persist syncs all records of the commands in one write. A snapshot from the
@@ -296,7 +296,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	g.model.Update(time.Now(), Compacted{Snapshot: g.model.Snapshot(data)})
+	g.model.Update(g.model.clock(), Compacted{Snapshot: g.model.Snapshot(data)})
 	return g.store.compact(g.model.Stored())
 }
 
--- a/internal/replicator/model.go
+++ b/internal/replicator/model.go
@@ -33,6 +33,7 @@
 type Model struct {
 	id        StoreID
 	random    *rand.Rand
+	clock     func() time.Time
 	election  time.Duration
 	heartbeat time.Duration
 
@@ -96,6 +97,11 @@
 	return func(m *Model) { m.random = rand.New(rand.NewPCG(seed, 0)) }
 }
 
+// WithClock sets where a group reads the time.
+func WithClock(clock func() time.Time) Option {
+	return func(m *Model) { m.clock = clock }
+}
+
 // Stored is what a store's disk held at start.
 type Stored struct {
 	State    HardState
@@ -105,11 +111,10 @@
 
 // New returns the model of a store that starts with what its disk held. A
 // store without members waits until it is founded or readmitted.
-func New(id StoreID, now time.Time, stored Stored, options ...Option) *Model {
+func New(id StoreID, stored Stored, options ...Option) *Model {
 	m := &Model{
 		id:        id,
-		now:       now,
-		heard:     now,
+		clock:     time.Now,
 		election:  DefaultElectionTimeout,
 		heartbeat: DefaultHeartbeat,
 		state:     stored.State,
@@ -121,6 +126,8 @@
 	for _, option := range options {
 		option(m)
 	}
+	m.now = m.clock()
+	m.heard = m.now
 	m.drawTimeout()
 	return m
 }
