sender: whole answers and true refusals over misbehaving servers, proved

Tests: streams cut once and twice, without end mark, with doubled and stray events, crossed answers, refusals before running and silent drops; outcomes compared with what the stand-ins counted; no key in any byte a server got. The stand-in cut by the whole length and so never cut a resumed stream twice; it now cuts by what is left.

--- a/internal/imitator/stream.go
+++ b/internal/imitator/stream.go
@@ -21,7 +21,7 @@
 	t.w.Header().Set("Content-Type", "text/event-stream")
 	first := t.resumeAfter() + 1
 	for number := first; number <= tokens; number++ {
-		if t.fault == FaultCut && number > first+tokens/2 {
+		if t.fault == FaultCut && number > first+(tokens-first)/2 {
 			panic(http.ErrAbortHandler)
 		}
 		t.event(number, fmt.Sprintf(`{"choices":[{"index":0,"delta":{"content":"word%d "}}]}`, number))
--- /dev/null
+++ b/internal/sender/sender_test.go
@@ -0,0 +1,229 @@
+package sender_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/boragehead/boragehead/internal/dispatcher"
+	"github.com/boragehead/boragehead/internal/exchanger"
+	"github.com/boragehead/boragehead/internal/imitator"
+	"github.com/boragehead/boragehead/internal/sender"
+	"github.com/boragehead/boragehead/internal/tabler"
+	"github.com/boragehead/boragehead/internal/tracker"
+)
+
+// fakes are the interfaces around a sender.
+type fakes struct {
+	servers []netip.AddrPort
+	model   dispatcher.Model
+	next    uint64
+	crossed int
+	retries int
+	resumes int
+}
+
+func (f *fakes) Acquire(_ context.Context, request dispatcher.Enqueue) (dispatcher.Cmd, error) {
+	now := time.Unix(100, 0)
+	for i, address := range f.servers {
+		f.model.Update(now, dispatcher.Announce{Announcement: tracker.Announcement{
+			Name: fmt.Sprintf("s%d", i), Address: address, Pools: []string{"p"}, State: tracker.StateReady, Counter: f.next + 1, MaxRunning: 4,
+		}})
+	}
+	f.next++
+	request.ID = f.next
+	request.Deadline = now.Add(time.Hour)
+	return f.model.Update(now, request)[0], nil
+}
+
+func (f *fakes) Release(_ context.Context, done dispatcher.Done) {
+	f.model.Update(time.Unix(100, 0), done)
+}
+
+func (f *fakes) Relay(string) (http.RoundTripper, string, bool) { return nil, "", false }
+func (f *fakes) CountCrossed()                                  { f.crossed++ }
+func (f *fakes) CountRetry()                                    { f.retries++ }
+func (f *fakes) CountResume()                                   { f.resumes++ }
+
+// start serves stand-ins and returns a sender before them.
+func start(t *testing.T, servers ...*imitator.Server) (*sender.Sender, *fakes) {
+	f := &fakes{}
+	for _, server := range servers {
+		listener := httptest.NewServer(server)
+		t.Cleanup(listener.Close)
+		f.servers = append(f.servers, netip.MustParseAddrPort(listener.Listener.Addr().String()))
+	}
+	return sender.New(f, f, f, 1), f
+}
+
+const streamed = `{"model":"m","stream":true,"max_tokens":6,"messages":[]}`
+
+// exchangeOf returns a request with the recorder of its answer.
+func exchangeOf(body string, once bool) (*exchanger.Exchange, *httptest.ResponseRecorder) {
+	path := "/v1/chat/completions"
+	if once {
+		path = "/swaps"
+	}
+	writer := httptest.NewRecorder()
+	x := &exchanger.Exchange{
+		Writer: writer, Request: httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)), ID: "request-1",
+		Arrived: time.Now(), Deadline: time.Now().Add(time.Minute), Body: []byte(body), Pools: []string{"p"}, Local: true,
+		Route: tabler.Route{Name: "r", Once: once},
+	}
+	if once {
+		x.Attempt = x.ID
+	}
+	return x, writer
+}
+
+// words returns the tokens of a streamed answer, in order.
+func words(answer string) string {
+	var found []string
+	for _, part := range strings.Split(answer, `"content":"`)[1:] {
+		word, _, _ := strings.Cut(part, `"`)
+		found = append(found, strings.TrimSpace(word))
+	}
+	return strings.Join(found, " ")
+}
+
+// TestStreamsAreWhole makes the first server misbehave. The caller gets every
+// token once, in order, and the end mark, or an explicit error.
+func TestStreamsAreWhole(t *testing.T) {
+	const whole = "word1 word2 word3 word4 word5 word6"
+	tests := []struct {
+		name    string
+		faults  []imitator.Fault
+		crossed int
+		resumes int
+		retries int
+	}{
+		{name: "no fault"},
+		{name: "cut midway", faults: []imitator.Fault{imitator.FaultCut}, resumes: 1},
+		{name: "cut twice", faults: []imitator.Fault{imitator.FaultCut, imitator.FaultCut}, resumes: 2},
+		{name: "no end mark", faults: []imitator.Fault{imitator.FaultNoEnd}, resumes: 1},
+		{name: "every event doubled", faults: []imitator.Fault{imitator.FaultDoubled}},
+		{name: "an event of another request", faults: []imitator.Fault{imitator.FaultCrossedEvent}, crossed: 1},
+		{name: "the answer of another request", faults: []imitator.Fault{imitator.FaultCrossed}, crossed: 1, retries: 1},
+		{name: "refused before running", faults: []imitator.Fault{imitator.FaultRefuse}, retries: 1},
+		{name: "dropped before answering", faults: []imitator.Fault{imitator.FaultSilent}, retries: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := &imitator.Server{Name: "s"}
+			server.Misbehave(test.faults...)
+			s, f := start(t, server, &imitator.Server{Name: "other"})
+			f.servers = append(f.servers[:1:1], f.servers[1:]...)
+			x, writer := exchangeOf(streamed, false)
+			assert.Assert(t, s.Handle(context.Background(), x) == nil)
+			assert.Equal(t, words(writer.Body.String()), whole)
+			assert.Equal(t, strings.Count(writer.Body.String(), "[DONE]"), 1)
+			assert.Assert(t, !strings.Contains(writer.Body.String(), "stray"))
+			assert.Equal(t, f.crossed, test.crossed)
+			assert.Equal(t, f.resumes, test.resumes)
+			assert.Equal(t, f.retries, test.retries)
+		})
+	}
+}
+
+// TestHopelessStreamEndsWithAnError cuts a stream more often than it is
+// resumed: the caller is told, and there is no end mark.
+func TestHopelessStreamEndsWithAnError(t *testing.T) {
+	server := &imitator.Server{Name: "s"}
+	cut := imitator.FaultCut
+	server.Misbehave(cut, cut, cut, cut, cut, cut, cut, cut)
+	s, _ := start(t, server)
+	x, writer := exchangeOf(strings.Replace(streamed, "6", "600", 1), false)
+	assert.Assert(t, s.Handle(context.Background(), x) == nil)
+	assert.Assert(t, strings.Contains(writer.Body.String(), "event: error"))
+	assert.Assert(t, strings.Contains(writer.Body.String(), `"outcome":"partial"`))
+	assert.Assert(t, !strings.Contains(writer.Body.String(), "[DONE]"))
+	assert.Equal(t, x.Result.Cut.Outcome, exchanger.OutcomePartial)
+}
+
+// TestAnswersThatAreNotStreamed checks that a part of a JSON answer never
+// reaches the caller.
+func TestAnswersThatAreNotStreamed(t *testing.T) {
+	for _, fault := range []imitator.Fault{imitator.FaultNone, imitator.FaultCut, imitator.FaultCrossed, imitator.FaultSilent} {
+		t.Run("fault-"+string(fault), func(t *testing.T) {
+			server := &imitator.Server{Name: "s"}
+			server.Misbehave(fault)
+			s, _ := start(t, server, &imitator.Server{Name: "other"})
+			x, writer := exchangeOf(`{"model":"m","max_tokens":3,"messages":[]}`, false)
+			assert.Assert(t, s.Handle(context.Background(), x) == nil)
+			assert.Assert(t, strings.Contains(writer.Body.String(), "word word word"))
+			assert.Assert(t, x.Result.Counted)
+		})
+	}
+}
+
+// TestOutcomesAreTrue compares what a caller is told of a booking with what
+// the server counted.
+func TestOutcomesAreTrue(t *testing.T) {
+	tests := []struct {
+		fault   imitator.Fault
+		outcome exchanger.Outcome
+		runs    int
+	}{
+		{fault: imitator.FaultNone, runs: 1},
+		{fault: imitator.FaultSilent, outcome: exchanger.OutcomeUnknown, runs: 1},
+		{fault: imitator.FaultCut, outcome: exchanger.OutcomeUnknown, runs: 1},
+		{fault: imitator.FaultCrossed, outcome: exchanger.OutcomeUnknown, runs: 1},
+		{fault: imitator.FaultRefuse, runs: 1}, // tried again: it was not run
+	}
+	for _, test := range tests {
+		t.Run("fault-"+string(test.fault), func(t *testing.T) {
+			first, second := &imitator.Server{Name: "s"}, &imitator.Server{Name: "t"}
+			first.Misbehave(test.fault)
+			second.Misbehave(test.fault)
+			s, _ := start(t, first, second)
+			x, _ := exchangeOf("swap", true)
+			refusal := s.Handle(context.Background(), x)
+			runs := first.Total() + second.Total()
+			if refusal == nil {
+				assert.Equal(t, test.outcome, exchanger.Outcome(""))
+				assert.Equal(t, runs, 1)
+				return
+			}
+			if refusal.Known() == exchanger.OutcomeNotRun {
+				assert.Equal(t, runs, 0)
+				return
+			}
+			assert.Equal(t, refusal.Known(), test.outcome)
+			assert.Equal(t, runs, test.runs)
+		})
+	}
+}
+
+// TestServerThatIsGoneIsNotRun sends to a closed port.
+func TestServerThatIsGoneIsNotRun(t *testing.T) {
+	listener := httptest.NewServer(http.NotFoundHandler())
+	address := netip.MustParseAddrPort(listener.Listener.Addr().String())
+	listener.Close()
+	f := &fakes{servers: []netip.AddrPort{address}}
+	x, _ := exchangeOf("swap", true)
+	refusal := sender.New(f, f, f, 1).Handle(context.Background(), x)
+	assert.Equal(t, refusal.Known(), exchanger.OutcomeNotRun)
+	assert.Assert(t, refusal.RetryAfter > 0)
+	assert.Assert(t, !x.Result.Ran)
+}
+
+// TestNoKeyIsForwarded searches all bytes that a server got.
+func TestNoKeyIsForwarded(t *testing.T) {
+	server := &imitator.Server{Name: "s", Keep: true}
+	s, _ := start(t, server)
+	x, _ := exchangeOf(streamed, false)
+	x.Secret = tabler.NewSecret()
+	for _, name := range []string{"Authorization", "X-Api-Key", "Cookie", "Proxy-Authorization", "X-Other", "Idempotency-Key"} {
+		x.Request.Header.Set(name, "Bearer "+x.Secret)
+	}
+	assert.Assert(t, s.Handle(context.Background(), x) == nil)
+	assert.Assert(t, strings.Contains(server.Received(), "Boragehead-Request-Id"))
+	assert.Assert(t, !strings.Contains(server.Received(), x.Secret))
+}
