--- a/internal/imitator/imitator.go
+++ b/internal/imitator/imitator.go
@@ -184,9 +184,7 @@
 	text, _ := json.Marshal(booking{Booking: s.Total(), Server: s.Name})
 	w.Header().Set("Content-Type", "application/json")
 	if fault == FaultCut {
-		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-		_, _ = w.Write(text[:len(text)/2])
-		panic(http.ErrAbortHandler)
+		cutShort(w, text)
 	}
 	_, _ = w.Write(text)
 }
@@ -219,13 +217,19 @@
 		strings.Repeat("word ", int(request.MaxTokens)), request.MaxTokens+int64(len(body)/4))
 	w.Header().Set("Content-Type", "application/json")
 	if fault == FaultCut || fault == FaultNoEnd {
-		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-		_, _ = io.WriteString(w, text[:len(text)/2])
-		panic(http.ErrAbortHandler)
+		cutShort(w, []byte(text))
 	}
 	_, _ = io.WriteString(w, text)
 }
 
+// cutShort sends half of an answer and drops the connection.
+func cutShort(w http.ResponseWriter, text []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = w.Write(text[:len(text)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
 func (s *Server) holding() chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
