router: bound work stays at home and nothing loops, proved

Tests: a rapid walk over fleets of random tables in which every instance has another revision and an old view of the others; the choice between here, near and far; the ramp.

--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,266 @@
+package router_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/boragehead/boragehead/internal/director"
+	"github.com/boragehead/boragehead/internal/exchanger"
+	"github.com/boragehead/boragehead/internal/gossiper"
+	"github.com/boragehead/boragehead/internal/router"
+	"github.com/boragehead/boragehead/internal/tabler"
+)
+
+// TestMain fixes the seed, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var regions = []string{"a", "b", "c"}
+
+// instance is an entry instance with its own revision and its own view of the
+// others, which may be old.
+type instance struct {
+	entry gossiper.Entry
+	view  *tabler.View
+	peers []gossiper.Entry
+	// served are the pools with servers in its failure domain.
+	served []gossiper.PoolSummary
+	router *router.Router
+}
+
+func (i *instance) View() *tabler.View              { return i.view }
+func (i *instance) Live() []gossiper.Entry          { return i.peers }
+func (i *instance) Summary() []gossiper.PoolSummary { return i.served }
+
+func (i *instance) Ready(region, workspace string) []string {
+	var names []string
+	for _, entry := range director.Order(workspace, region, i.entry.Region, i.peers) {
+		names = append(names, "http://"+entry.Name)
+	}
+	return names
+}
+
+// tables draws a configuration in which workspaces are bound or not.
+func drawTables(t *rapid.T) tabler.Tables {
+	var tables tabler.Tables
+	for _, region := range regions {
+		tables.Regions = append(tables.Regions, tabler.Region{Name: region, FailureDomains: []string{region + "-1"}})
+	}
+	region := rapid.SampledFrom(regions)
+	for number := range 4 {
+		tables.Pools = append(tables.Pools, tabler.Pool{Name: fmt.Sprintf("p%d", number), Region: region.Draw(t, "pool-region")})
+	}
+	pool := rapid.SampledFrom([]string{"p0", "p1", "p2", "p3"})
+	tables.Routes = []tabler.Route{{
+		Name: "r", Path: "/work", Pools: rapid.SliceOfNDistinct(pool, 1, 4, rapid.ID[string]).Draw(t, "pools"),
+		Once: rapid.Bool().Draw(t, "once"),
+	}}
+	tables.Workspaces = []tabler.Workspace{
+		{Name: "bound", HomeRegion: region.Draw(t, "home"), Rate: 1, Burst: 1}, {Name: "free", Rate: 1, Burst: 1},
+	}
+	return tables
+}
+
+func viewOf(t *rapid.T, tables tabler.Tables) *tabler.View {
+	var state tabler.State
+	result := state.Apply(tabler.Command{Edit: &tabler.Edit{Put: tables}})
+	assert.Equal(t, result.Refusal, tabler.Refusal(""), result.Detail)
+	return tabler.NewView(&state)
+}
+
+func drawFleet(t *rapid.T) map[string]*instance {
+	fleet := map[string]*instance{}
+	var entries []gossiper.Entry
+	for _, region := range regions {
+		for number := range 2 {
+			name := fmt.Sprintf("%s%d", region, number)
+			i := &instance{view: viewOf(t, drawTables(t))}
+			for _, pool := range []string{"p0", "p1", "p2", "p3"} {
+				if rapid.Bool().Draw(t, "served") {
+					i.served = append(i.served, gossiper.PoolSummary{
+						Pool: pool, Servers: 1, Free: rapid.IntRange(0, 1).Draw(t, "room"),
+						Delay: time.Duration(rapid.IntRange(0, 9).Draw(t, "delay")) * time.Second,
+					})
+				}
+			}
+			i.entry = gossiper.Entry{
+				Name: name, Region: region, FailureDomain: name, State: gossiper.StateReady, Pools: i.served,
+				Public: netip.MustParseAddrPort("127.0.0.1:1"),
+			}
+			entries = append(entries, i.entry)
+			fleet[name] = i
+		}
+	}
+	for name, i := range fleet {
+		for _, entry := range entries {
+			if entry.Name != name && rapid.IntRange(0, 4).Draw(t, "known") > 0 {
+				i.peers = append(i.peers, entry)
+			}
+		}
+		i.router = router.New(i.entry.Region, i, i, 1<<20, rapid.Uint64().Draw(t, "seed"))
+	}
+	return fleet
+}
+
+// walk sends a request through the fleet as the processes do, and returns the
+// instances that saw its body, the last of which served or refused it.
+func walk(t *rapid.T, fleet map[string]*instance, entrance, workspace string) (saw []string, pools []string, served bool) {
+	at := fleet[entrance]
+	x := newExchange(t, at, workspace)
+	next := func(context.Context, *exchanger.Exchange) *exchanger.Refusal { return nil }
+	if refusal := at.router.Handle(context.Background(), x, next); refusal != nil {
+		if len(x.Body) > 0 {
+			saw = append(saw, entrance)
+		}
+		return saw, nil, false
+	}
+	saw = append(saw, entrance)
+	if x.Local {
+		return saw, x.Pools, true
+	}
+	to := fleet[x.Relay]
+	relayed := newExchange(t, to, workspace)
+	relayed.Route, _ = to.view.RouteByName("r")
+	saw = append(saw, x.Relay)
+	if refusal := to.router.HandleRelayed(context.Background(), relayed, next); refusal != nil {
+		return saw, nil, false
+	}
+	assert.Assert(t, relayed.Local, "a relayed request was relayed again")
+	assert.Equal(t, relayed.Relay, "")
+	return saw, relayed.Pools, true
+}
+
+func newExchange(t *rapid.T, at *instance, workspace string) *exchanger.Exchange {
+	w, known := at.view.Workspace(workspace)
+	assert.Assert(t, known)
+	return &exchanger.Exchange{
+		Writer: httptest.NewRecorder(), Request: httptest.NewRequest(http.MethodPost, "/work", strings.NewReader("cargo")),
+		Workspace: w, Secret: "secret", Arrived: time.Now(),
+	}
+}
+
+// TestBoundWorkStaysAtHome walks requests through fleets of random tables, in
+// which every instance may hold another revision and an old view of the
+// others. By the revision of the instance that decides, no body of bound work
+// is read outside its home, no pool outside it is used, and every request is
+// relayed at most once.
+func TestBoundWorkStaysAtHome(t *testing.T) {
+	relays := 0
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := drawFleet(t)
+		for name := range fleet {
+			for _, workspace := range []string{"bound", "free"} {
+				saw, pools, served := walk(t, fleet, name, workspace)
+				assert.Assert(t, len(saw) <= 2)
+				if len(saw) == 2 {
+					relays++
+				}
+				if !served {
+					continue
+				}
+				last := fleet[saw[len(saw)-1]]
+				w, _ := last.view.Workspace(workspace)
+				assert.Assert(t, len(pools) > 0)
+				for _, pool := range pools {
+					p, known := last.view.Pool(pool)
+					assert.Assert(t, known)
+					assert.Assert(t, w.HomeRegion == "" || p.Region == w.HomeRegion, "%s ran in %s", workspace, p.Region)
+				}
+				if w.HomeRegion != "" {
+					assert.Equal(t, last.entry.Region, w.HomeRegion, "a body was read outside its home")
+				}
+			}
+		}
+	})
+	assert.Assert(t, relays > 50, "only %d relays", relays)
+}
+
+// TestSendHome checks what an instance elsewhere answers.
+func TestSendHome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := drawFleet(t)
+		for _, i := range fleet {
+			x := newExchange(t, i, "bound")
+			if x.Workspace.HomeRegion == i.entry.Region {
+				continue
+			}
+			refusal := i.router.Handle(context.Background(), x, nil)
+			assert.Equal(t, refusal.Known(), exchanger.OutcomeNotRun)
+			assert.Equal(t, len(x.Body), 0)
+			if refusal.Status == http.StatusTemporaryRedirect {
+				assert.Assert(t, slices.Contains(refusal.Instances, strings.TrimSuffix(refusal.Location, "/work")))
+				continue
+			}
+			assert.Equal(t, refusal.Status, http.StatusServiceUnavailable)
+			assert.Assert(t, refusal.RetryAfter > 0)
+		}
+	})
+}
+
+// TestDecide checks the choice between here, near and far.
+func TestDecide(t *testing.T) {
+	pools := []tabler.Pool{{Name: "here", Region: "a"}, {Name: "far", Region: "b"}}
+	peer := func(region, pool string, free int, delay time.Duration) gossiper.Entry {
+		return gossiper.Entry{Name: region + "-peer", Region: region, State: gossiper.StateReady,
+			Pools: []gossiper.PoolSummary{{Pool: pool, Servers: 1, Free: free, Delay: delay}}}
+	}
+	local := func(free int, delay time.Duration) []gossiper.PoolSummary {
+		return []gossiper.PoolSummary{{Pool: "here", Servers: 1, Free: free, Delay: delay}}
+	}
+	tests := []struct {
+		name  string
+		local []gossiper.PoolSummary
+		peers []gossiper.Entry
+		want  string
+	}{
+		{name: "room here", local: local(1, 0), peers: []gossiper.Entry{peer("b", "far", 9, 0)}, want: ""},
+		{name: "short queue here", local: local(0, 100*time.Millisecond), peers: []gossiper.Entry{peer("a", "here", 9, 0)}, want: ""},
+		{name: "long queue here, room near", local: local(0, time.Minute), peers: []gossiper.Entry{peer("a", "here", 1, 0), peer("b", "far", 9, 0)}, want: "a-peer"},
+		{name: "gain below the price of the link", local: local(0, 900*time.Millisecond), peers: []gossiper.Entry{peer("b", "far", 9, 0)}, want: ""},
+		{name: "none here", peers: []gossiper.Entry{peer("b", "far", 0, time.Second)}, want: "b-peer"},
+		{name: "none anywhere", want: ""},
+		{name: "a pool's servers in a wrong region do not count", peers: []gossiper.Entry{peer("b", "here", 9, 0)}, want: ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			situation := router.Situation{Region: "a", Local: test.local, Peers: test.peers}
+			place := router.NewDecider(1).Decide(time.Unix(100, 0), situation, pools)
+			assert.Equal(t, place.Peer.Name, test.want)
+			assert.Equal(t, place.Local, test.want == "")
+		})
+	}
+}
+
+// TestRampLetsFewLeaveAtFirst keeps cold caches elsewhere from being flooded.
+func TestRampLetsFewLeaveAtFirst(t *testing.T) {
+	var ramp router.Ramp
+	now := time.Unix(100, 0)
+	left := make([]int, 30)
+	for second := range left {
+		for range 100 {
+			if ramp.Allow(now) {
+				left[second]++
+			}
+		}
+		now = now.Add(time.Second)
+	}
+	assert.Assert(t, left[0] <= 6, "%d of 100 left at once", left[0])
+	assert.Assert(t, slices.IsSorted(left), "%v", left)
+	assert.Equal(t, left[29], 100)
+}
