--- a/internal/granter/ledger_test.go
+++ b/internal/granter/ledger_test.go
@@ -122,6 +122,7 @@
 			assert.Equal(t, len(planner.Lapsed(now, &ledger)), test.lapsed)
 			if test.lapsed > 0 {
 				assert.Assert(t, !planner.Renew(now, instance), "renewed while it is taken back")
+				assert.Equal(t, len(planner.Lapsed(now, &ledger)), 1, "a lost proposal is not made again")
 				planner.Reclaimed("a")
 				assert.Assert(t, planner.Renew(now, instance))
 			}
--- a/internal/granter/planner.go
+++ b/internal/granter/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -71,34 +72,52 @@
 	p.demand[workspace][instance] = rate
 }
 
-// Lapsed returns the instances whose leased parts must be taken back, and
-// refuses to renew them until Reclaimed is called.
+// Surrender notes that an instance has given its leased parts up. They are
+// not renewed until Reclaimed is called.
+func (p *Planner) Surrender(instance string) {
+	known := p.contacts[instance]
+	known.lapsing = true
+	p.contacts[instance] = known
+}
+
+// Lapsed returns the instances whose leased parts must be taken back, sorted,
+// and refuses to renew them until Reclaimed is called. An instance is named
+// again until then: a proposal whose outcome is unknown is made once more.
 func (p *Planner) Lapsed(now time.Time, ledger *Ledger) []string {
-	holders := map[string]bool{}
-	for _, account := range ledger.Accounts {
-		for name, grant := range account.Grants {
-			if grant.Granted.Leased != (Amount{}) {
-				holders[name] = true
-			}
-		}
-	}
-	var lapsed []string
-	for name := range holders {
+	for name := range leaseholders(ledger) {
 		known := p.contacts[name]
 		heard := known.heard
 		if heard.Before(p.started) {
 			heard = p.started
 		}
-		if known.lapsing || now.Sub(heard) <= Lease+Drift {
-			continue
+		if now.Sub(heard) > Lease+Drift {
+			known.lapsing = true
+			p.contacts[name] = known
+		}
+	}
+	var lapsed []string
+	for name, known := range p.contacts {
+		if known.lapsing {
+			lapsed = append(lapsed, name)
 		}
-		known.lapsing = true
-		p.contacts[name] = known
-		lapsed = append(lapsed, name)
 	}
+	slices.Sort(lapsed)
 	return lapsed
 }
 
+// leaseholders returns the instances that have leased parts.
+func leaseholders(ledger *Ledger) map[string]bool {
+	holders := map[string]bool{}
+	for _, account := range ledger.Accounts {
+		for name, grant := range account.Grants {
+			if grant.Granted.Leased != (Amount{}) {
+				holders[name] = true
+			}
+		}
+	}
+	return holders
+}
+
 // Reclaimed notes that a lapse was accepted.
 func (p *Planner) Reclaimed(instance string) {
 	delete(p.contacts, instance)
--- a/internal/keeper/ledger.go
+++ b/internal/keeper/ledger.go
@@ -34,6 +34,9 @@
 	if err := k.control.Read(ctx); err != nil {
 		return SyncAnswer{}, err
 	}
+	if query.Surrender {
+		return SyncAnswer{}, k.takeBack(ctx, query.Instance.Name)
+	}
 	answer := SyncAnswer{Renewed: k.renew(query)}
 	k.machine.view(func(_ *tabler.State, ledger *granter.Ledger, index uint64) {
 		answer.Index = index
@@ -48,7 +51,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	current := k.planner != nil && k.planTerm == k.control.Status().Term && k.control.Leads()
-	if !current || query.Surrender {
+	if !current {
 		return false
 	}
 	for workspace, rate := range query.Demand {
@@ -57,6 +60,29 @@
 	return k.planner.Renew(time.Now(), query.Instance)
 }
 
+// takeBack frees the leased parts of an instance that has lowered itself and
+// will not sync again.
+func (k *Keeper) takeBack(ctx context.Context, instance string) error {
+	data, err := cbor.Marshal(command{Ledger: &granter.Command{Lapse: &granter.Lapse{Instance: instance}}})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	k.withPlanner(func(p *granter.Planner) { p.Surrender(instance) })
+	if _, err = k.control.Propose(ctx, data); err != nil {
+		return trace.Wrap(err) // the planner proposes it again
+	}
+	k.withPlanner(func(p *granter.Planner) { p.Reclaimed(instance) })
+	return nil
+}
+
+func (k *Keeper) withPlanner(change func(*granter.Planner)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.planner != nil {
+		change(k.planner)
+	}
+}
+
 func (k *Keeper) recordConsents(ctx context.Context, query SyncQuery) error {
 	lower := granter.Lower{Instance: query.Instance.Name, Consents: query.Consents}
 	data, err := cbor.Marshal(command{Ledger: &granter.Command{Lower: &lower}})
@@ -133,9 +159,7 @@
 		return err
 	}
 	if c.Lapse != nil {
-		k.mu.Lock()
-		k.planner.Reclaimed(c.Lapse.Instance)
-		k.mu.Unlock()
+		k.withPlanner(func(p *granter.Planner) { p.Reclaimed(c.Lapse.Instance) })
 		klog.InfoS("leased grants taken back", "instance", c.Lapse.Instance)
 	}
 	return nil
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -29,17 +29,34 @@
 	Address netip.AddrPort
 }
 
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Client calls other processes, over one connection for each.
 type Client struct {
 	credentials certifier.Credentials
+	dialRaw     Dial
 
 	mu    sync.Mutex
 	conns map[Endpoint]*rpc.Client
 }
 
+// Option sets up a client.
+type Option func(*Client)
+
+// WithDial sets how connections are opened.
+func WithDial(dial Dial) Option {
+	return func(c *Client) { c.dialRaw = dial }
+}
+
 // NewClient returns a client with a process's credentials.
-func NewClient(credentials certifier.Credentials) *Client {
-	return &Client{credentials: credentials, conns: map[Endpoint]*rpc.Client{}}
+func NewClient(credentials certifier.Credentials, options ...Option) *Client {
+	c := &Client{credentials: credentials, conns: map[Endpoint]*rpc.Client{}}
+	c.dialRaw = (&net.Dialer{}).DialContext
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
 // Call performs one call. Errors of the other side keep their sentinel.
@@ -141,8 +158,16 @@
 func (c *Client) dial(ctx context.Context, to Endpoint, protocol string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := tls.Dialer{Config: c.credentials.Client(to.Name, protocol)}
-	return dialer.DialContext(ctx, "tcp", to.Address.String())
+	raw, err := c.dialRaw(ctx, "tcp", to.Address.String())
+	if err != nil {
+		return nil, err
+	}
+	conn := tls.Client(raw, c.credentials.Client(to.Name, protocol))
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return conn, nil
 }
 
 // deadlineConn fails a write that the other side does not take, so that a
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -137,8 +137,12 @@
 	to := fleet[x.Relay]
 	relayed := newExchange(t, to, workspace)
 	relayed.Route, _ = to.view.RouteByName("r")
+	refusal := to.router.HandleRelayed(context.Background(), relayed, next)
+	if home := relayed.Workspace.HomeRegion; home != "" && home != to.entry.Region {
+		assert.Equal(t, len(relayed.Body), 0, "a body was read outside its home")
+	}
 	saw = append(saw, x.Relay)
-	if refusal := to.router.HandleRelayed(context.Background(), relayed, next); refusal != nil {
+	if refusal != nil {
 		return saw, nil, false
 	}
 	assert.Assert(t, relayed.Local, "a relayed request was relayed again")
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -63,9 +63,9 @@
 }
 
 // NewGate joins the parts of an entry instance.
-func NewGate(settings loader.Gate, credentials certifier.Credentials) *Gate {
+func NewGate(settings loader.Gate, credentials certifier.Credentials, options ...messenger.Option) *Gate {
 	g := &Gate{settings: settings, registry: metrics.NewRegistry(), stopping: &stopping{}}
-	g.client = messenger.NewClient(credentials)
+	g.client = messenger.NewClient(credentials, options...)
 	g.follower = watcher.NewFollower(settings.Region)
 	g.dispatcher = dispatcher.New()
 	g.fleet = newFleet(settings, g.client, g.follower, g.dispatcher)
--- a/internal/runner/keeper.go
+++ b/internal/runner/keeper.go
@@ -21,12 +21,12 @@
 const keeperStopLimit = 10 * time.Second
 
 // RunKeeper serves a control instance until a signal has stopped it.
-func RunKeeper(ctx context.Context, settings loader.KeeperProcess, credentials certifier.Credentials) error {
+func RunKeeper(ctx context.Context, settings loader.KeeperProcess, credentials certifier.Credentials, options ...messenger.Option) error {
 	disk, err := journaler.OpenFolder(settings.DataFolder)
 	if err != nil {
 		return trace.Wrap(err, "data-folder")
 	}
-	client := messenger.NewClient(credentials)
+	client := messenger.NewClient(credentials, options...)
 	defer client.Close()
 	k, err := keeper.New(settings, disk, client)
 	if err != nil {
--- a/internal/runner/ledger.go
+++ b/internal/runner/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -20,6 +21,10 @@
 // syncPause is the shortest time between two syncs with the ledger.
 const syncPause = 500 * time.Millisecond
 
+// stillSyncs is how many syncs in a row must move nothing before the next one
+// waits for its interval.
+const stillSyncs = 4
+
 // syncTimeout bounds one sync.
 const syncTimeout = 3 * time.Second
 
@@ -31,9 +36,11 @@
 	lender   *lender.Lender
 	self     granter.Instance
 
-	index    uint64
-	consents []granter.Consent
-	leader   int
+	mu          sync.Mutex
+	index       uint64
+	consents    []granter.Consent
+	leader      int
+	surrendered bool
 }
 
 func newLedger(settings loader.Gate, client *messenger.Client, follower *watcher.Follower, l *lender.Lender) *ledger {
@@ -43,32 +50,53 @@
 	}
 }
 
-// run syncs every interval, and soon again while grants are in motion.
+// run syncs every interval, and soon again while grants are in motion: the
+// ledger plans a moment after a change.
 func (l *ledger) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		changed := l.follower.Changed()
-		moved, err := l.sync(ctx, false)
-		if err != nil {
-			klog.V(3).InfoS("ledger not reached", "err", err)
-		}
-		pause(ctx, syncPause)
-		if moved || err != nil {
-			continue
+		for still := 0; still < stillSyncs && ctx.Err() == nil; still++ {
+			moved, err := l.sync(ctx)
+			if err != nil {
+				klog.V(3).InfoS("ledger not reached", "err", err)
+			}
+			if moved || err != nil {
+				still = 0
+			}
+			pause(ctx, syncPause)
 		}
+		l.rest(ctx, changed)
+	}
+	return nil
+}
+
+// rest keeps the lease through calm times, until the configuration changes or
+// a grant moves.
+func (l *ledger) rest(ctx context.Context, changed <-chan struct{}) {
+	ticker := time.NewTicker(granter.SyncInterval)
+	defer ticker.Stop()
+	for {
 		select {
 		case <-changed:
-		case <-time.After(granter.SyncInterval - syncPause):
+			return
 		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if moved, err := l.sync(ctx); moved || err != nil {
+			return
 		}
 	}
-	return nil
 }
 
 // sync asks the ledger once. It reports whether any grant moved.
-func (l *ledger) sync(ctx context.Context, surrender bool) (bool, error) {
-	query := keeper.SyncQuery{
-		Instance: l.self, Since: l.index, Consents: l.consents, Demand: l.lender.Demand(), Surrender: surrender,
+func (l *ledger) sync(ctx context.Context) (bool, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.surrendered {
+		return false, nil
 	}
+	query := keeper.SyncQuery{Instance: l.self, Since: l.index, Consents: l.consents, Demand: l.lender.Demand()}
 	asked := time.Now()
 	answer, err := l.askLeader(ctx, query)
 	if err != nil {
@@ -109,10 +137,13 @@
 }
 
 // surrender hands the leased parts back before a shutdown. They are lowered
-// here first.
+// here first, and no later sync can renew them.
 func (l *ledger) surrender(ctx context.Context) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.surrendered = true
 	l.lender.Update(func(limits *limiter.Limiter) { limits.Surrender(time.Now()) })
-	if _, err := l.sync(ctx, true); err != nil {
+	if _, err := l.askLeader(ctx, keeper.SyncQuery{Instance: l.self, Since: l.index, Surrender: true}); err != nil {
 		klog.V(2).InfoS("leased grants not handed back: they lapse", "err", err)
 	}
 }
