messenger: a broken connection is dropped by whoever meets it; starts and stops cut nothing

Causes that the fleet tests found: (1) messages sent without waiting never looked at their outcome, so that a keeper's connection that had broken once was used for ever: after restarts of all keepers there was no quorum, and claims failed after a cut (seen: 30 s without a quorum, both tests failed). Ruled out: the election (the same model passes its histories), the disks. (2) A starting instance opened its callers' port before it had a configuration, servers and grants, and refused what another could have served. (3) Buckets of a workspace could be forgotten by a view older than the grant. Change: the connection is dropped; the callers' port opens when the instance can serve; buckets with grants are kept.

--- a/internal/claimer/filter.go
+++ b/internal/claimer/filter.go
@@ -89,6 +89,7 @@
 	region := f.regions.ClaimRegion(x)
 	outcome, err := f.ask(ctx, region, x, key)
 	if err != nil {
+		klog.V(2).InfoS("claim failed", "id", x.ID, "region", region, "err", err)
 		f.later(func() { f.release(region, x.ID, key) })
 		return exchanger.Refuse(http.StatusServiceUnavailable, exchanger.CodeNoClaims,
 			"the claim could not be recorded, so nothing was sent").After(inProgressRetry)
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -31,6 +31,7 @@
 
 // The states.
 const (
+	StateStarting State = "starting"
 	StateReady    State = "ready"
 	StateDraining State = "draining"
 	StateStopping State = "stopping"
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -311,7 +311,10 @@
 	return demand
 }
 
-// Forget drops the buckets of workspaces that no longer exist.
+// Forget drops the buckets of workspaces that no longer exist, once nothing
+// is granted to them any more.
 func (l *Limiter) Forget(exists func(workspace string) bool) {
-	maps.DeleteFunc(l.buckets, func(workspace string, _ *bucket) bool { return !exists(workspace) })
+	maps.DeleteFunc(l.buckets, func(workspace string, b *bucket) bool {
+		return b.share == granter.Share{} && !exists(workspace)
+	})
 }
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -104,6 +104,9 @@
 	ended := make(chan struct{})
 	go func() {
 		<-call.Done
+		if broken(call.Error) {
+			client.drop(to, conn)
+		}
 		close(ended)
 	}()
 	return ended, nil
@@ -121,17 +124,24 @@
 	case <-ctx.Done():
 		return nil, trace.Wrap(ErrUnreachable, "%s: %v", to.Name, ctx.Err())
 	}
-	var served rpc.ServerError
 	switch {
 	case call.Error == nil:
 		return reply, nil
-	case errors.As(call.Error, &served):
+	case !broken(call.Error):
 		return nil, trace.BadParameter("%s: %v", to.Name, call.Error)
 	}
 	c.drop(to, conn)
 	return nil, trace.Wrap(ErrUnreachable, "%s: %v", to.Name, call.Error)
 }
 
+// broken reports whether a call failed with its connection, and not by the
+// other side's word. A broken connection must be dropped, or every later call
+// would fail on it.
+func broken(err error) bool {
+	var served rpc.ServerError
+	return err != nil && !errors.As(err, &served)
+}
+
 // conn returns the connection to a process, and dials when there is none.
 func (c *Client) conn(ctx context.Context, to Endpoint) (*rpc.Client, error) {
 	c.mu.Lock()
--- a/internal/router/decide.go
+++ b/internal/router/decide.go
@@ -135,7 +135,7 @@
 }
 
 func optionOf(s Situation, peer gossiper.Entry, pools []tabler.Pool) (option, bool) {
-	if peer.State == gossiper.StateStopping {
+	if peer.State == gossiper.StateStopping || peer.State == gossiper.StateStarting {
 		return option{}, false
 	}
 	remote := peer.Region != s.Region
--- a/internal/runner/actors.go
+++ b/internal/runner/actors.go
@@ -40,15 +40,26 @@
 
 // serve adds an HTTP server on a listener.
 func (a *actors) serve(name string, server *http.Server, listener net.Listener) {
+	opened := make(chan net.Listener, 1)
+	opened <- listener
+	a.serveLater(name, server, opened)
+}
+
+// serveLater adds an HTTP server on a listener that is opened later.
+func (a *actors) serveLater(name string, server *http.Server, opened <-chan net.Listener) {
 	closed := make(chan struct{})
 	a.group.Add(func() error {
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
+		select {
+		case listener := <-opened:
+			err := server.Serve(listener)
+			if !errors.Is(err, http.ErrServerClosed) {
+				return trace.Wrap(err, "%s", name)
+			}
 			// Shutdown waits for requests; the process ends after it.
-			<-closed
-			return nil
+		case <-closed:
 		}
-		return trace.Wrap(err, "%s", name)
+		<-closed
+		return nil
 	}, func(error) {
 		close(closed)
 		_ = server.Close()
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -54,7 +54,7 @@
 	self := gossiper.Entry{
 		Name: settings.Name, Region: settings.Region, FailureDomain: settings.FailureDomain,
 		Public: settings.Public(), Secure: settings.CallerTLS != nil, Peer: settings.PeerAddress,
-		Incarnation: now.UnixNano(), State: gossiper.StateReady,
+		Incarnation: now.UnixNano(), State: gossiper.StateStarting,
 	}
 	return &fleet{
 		settings: settings, client: client, follower: follower, dispatcher: d,
@@ -76,6 +76,17 @@
 	}
 }
 
+// ready puts this instance into the directory.
+func (f *fleet) ready() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.Self(func(entry *gossiper.Entry) {
+		if entry.State == gossiper.StateStarting {
+			entry.State = gossiper.StateReady
+		}
+	})
+}
+
 // announce tells all live instances at once, as before a shutdown.
 func (f *fleet) announce(ctx context.Context, state gossiper.State) {
 	f.mu.Lock()
@@ -103,7 +114,7 @@
 	f.table.Self(func(entry *gossiper.Entry) {
 		entry.Revision = view.Revision
 		entry.Pools = summary
-		if entry.State == gossiper.StateStopping {
+		if entry.State == gossiper.StateStopping || entry.State == gossiper.StateStarting {
 			return
 		}
 		entry.State = gossiper.StateReady
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -28,6 +28,7 @@
 	"github.com/boragehead/boragehead/internal/reporter"
 	"github.com/boragehead/boragehead/internal/router"
 	"github.com/boragehead/boragehead/internal/sender"
+	"github.com/boragehead/boragehead/internal/tracker"
 	"github.com/boragehead/boragehead/internal/watcher"
 )
 
@@ -36,6 +37,11 @@
 	// sweepInterval is how often open requests are checked against the
 	// contact with their keys' homes.
 	sweepInterval = time.Second
+	// startPause is the time between two looks whether an instance can serve.
+	startPause = 20 * time.Millisecond
+	// startPatience is how long a starting instance waits for a first backend
+	// server and its grants: a failure domain may have none.
+	startPatience = tracker.Silence
 	// defaultStopLimit bounds a graceful shutdown.
 	defaultStopLimit = 10 * time.Minute
 	// defaultStopLinger outlasts the directories that callers hold.
@@ -157,40 +163,78 @@
 	actors.add("peers", peerServer.Run)
 	actors.serve("relays", g.relays, peerServer.Streams())
 	actors.serve("backends", g.backends, ports.backends)
-	actors.serve("callers", g.callers, ports.callers)
-	klog.InfoS("entry instance serves", "name", g.settings.Name, "callers", g.settings.CallerAddress.String())
+	callers := make(chan net.Listener, 1)
+	actors.serveLater("callers", g.callers, callers)
+	actors.add("starter", func(ctx context.Context) error { return g.start(ctx, callers) })
 	return actors.run(ctx, g.stop)
 }
 
 // ports are the listeners of an entry instance.
 type ports struct {
-	callers, backends, peers net.Listener
+	backends, peers net.Listener
 }
 
 func (g *Gate) listen() (ports, error) {
 	var p ports
 	var err error
-	if p.callers, err = net.Listen("tcp", g.settings.CallerAddress.String()); err != nil {
-		return p, trace.Wrap(err, "caller-address")
-	}
 	if p.backends, err = net.Listen("tcp", g.settings.BackendAddress.String()); err != nil {
 		return p, trace.Wrap(err, "backend-address")
 	}
 	if p.peers, err = net.Listen("tcp", g.settings.PeerAddress.String()); err != nil {
 		return p, trace.Wrap(err, "peer-address")
 	}
-	if files := g.settings.CallerTLS; files != nil {
-		pair, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
-		if err != nil {
-			return p, trace.Wrap(err, "caller-tls")
-		}
-		p.callers = tls.NewListener(p.callers, &tls.Config{
-			MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}, NextProtos: []string{"http/1.1"},
-		})
-	}
 	return p, nil
 }
 
+// start opens the callers' port once the instance can serve: it has a
+// configuration, and has heard the backend servers for a whole period. Until
+// then callers use other instances.
+func (g *Gate) start(ctx context.Context, callers chan<- net.Listener) error {
+	begun := time.Now()
+	for g.follower.View().Revision == 0 && ctx.Err() == nil {
+		pause(ctx, startPause)
+	}
+	for !g.supplied() && time.Since(begun) < startPatience && ctx.Err() == nil {
+		pause(ctx, startPause)
+	}
+	pause(ctx, tracker.Period)
+	if ctx.Err() != nil {
+		return nil
+	}
+	listener, err := g.listenCallers()
+	if err != nil {
+		return err
+	}
+	callers <- listener
+	g.fleet.ready()
+	klog.InfoS("entry instance serves", "name", g.settings.Name, "callers", g.settings.CallerAddress.String())
+	<-ctx.Done()
+	return nil
+}
+
+// supplied reports whether the instance has backend servers and grants.
+func (g *Gate) supplied() bool {
+	return len(g.dispatcher.Summary()) > 0 && g.ledger.synced.Load()
+}
+
+func (g *Gate) listenCallers() (net.Listener, error) {
+	listener, err := net.Listen("tcp", g.settings.CallerAddress.String())
+	if err != nil {
+		return nil, trace.Wrap(err, "caller-address")
+	}
+	files := g.settings.CallerTLS
+	if files == nil {
+		return listener, nil
+	}
+	pair, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	if err != nil {
+		return nil, trace.Wrap(err, "caller-tls")
+	}
+	return tls.NewListener(listener, &tls.Config{
+		MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}, NextProtos: []string{"http/1.1"},
+	}), nil
+}
+
 // runConfigurator puts every new configuration in force.
 func (g *Gate) runConfigurator(ctx context.Context) error {
 	for {
--- a/internal/runner/ledger.go
+++ b/internal/runner/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -41,6 +42,8 @@
 	consents    []granter.Consent
 	leader      int
 	surrendered bool
+	// synced means that the ledger has told this process its grants.
+	synced atomic.Bool
 }
 
 func newLedger(settings loader.Gate, client *messenger.Client, follower *watcher.Follower, l *lender.Lender) *ledger {
@@ -102,6 +105,9 @@
 	if err != nil {
 		return false, err
 	}
+	if len(answer.Grants) > 0 {
+		l.synced.Store(true)
+	}
 	l.index = answer.Index
 	l.consents = lender.Consents(answer.Grants)
 	now := time.Now()
--- a/internal/sender/attempt.go
+++ b/internal/sender/attempt.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/boragehead/boragehead/internal/exchanger"
 )
 
@@ -83,6 +85,7 @@
 	}
 	response, err := t.transport.RoundTrip(request)
 	if err != nil {
+		klog.V(2).InfoS("attempt failed", "id", x.ID, "target", t.base, "connected", connected.Load(), "err", err)
 		return stream.broken(connected.Load())
 	}
 	defer func() { _ = response.Body.Close() }()
