--- a/internal/runner/fleet_test.go
+++ b/internal/runner/fleet_test.go
@@ -85,7 +85,7 @@
 		gate := loader.Gate{
 			Place:         loader.Place{Name: place[0], Region: place[1], FailureDomain: place[1] + "-1"},
 			CallerAddress: freePort(), BackendAddress: freePort(), PeerAddress: freePort(),
-			Keepers: f.keepers, StopLinger: loader.Duration(50 * time.Millisecond),
+			Keepers: f.keepers, StopLinger: loader.Duration(50 * time.Millisecond), MaxBody: 64 << 10,
 		}
 		f.gates[place[0]] = gate
 		f.peers = append(f.peers, loader.Peer{Name: place[0], Address: gate.PeerAddress})
--- a/internal/runner/keys_test.go
+++ b/internal/runner/keys_test.go
@@ -30,7 +30,7 @@
 	streams := map[string]io.ReadCloser{}
 	for _, gate := range []string{"n1", "s1"} {
 		f.eventually("stream opened", func() error {
-			response, err := f.request(gate, secret, "/v1/chat/completions", question, nil)
+			response, err := f.request(gate, secret, "/v1/chat/completions", question, nil) //nolint:bodyclose // closed when the stream has ended
 			if err != nil {
 				return err
 			}
