--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -42,14 +42,20 @@
 	return f.Cause
 }
 
-// Decode reads a YAML document strictly: unknown fields are refused.
-func Decode(text []byte, into any) *Fault {
+// Decode reads a YAML document strictly: unknown fields are refused. The YAML
+// library panics on some broken documents; that is a fault of the document.
+func Decode(text []byte, into any) (fault *Fault) {
+	defer func() {
+		if recover() != nil {
+			fault = &Fault{Field: "document", Text: "not a YAML document of the expected form"}
+		}
+	}()
 	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict(), yaml.DisallowUnknownField())
 	err := decoder.Decode(into)
 	if err == nil {
 		return nil
 	}
-	fault := &Fault{Field: "document", Text: firstLine(err.Error())}
+	fault = &Fault{Field: "document", Text: firstLine(err.Error())}
 	var syntax yaml.Error
 	if errors.As(err, &syntax) {
 		fault.Text = syntax.GetMessage()
@@ -64,6 +70,7 @@
 // Locate fills in the line of every fault, as far as the document has one. A
 // field is written as "pools[2].region".
 func Locate(text []byte, faults []Fault) {
+	defer func() { _ = recover() }() // as in Decode: a line is only a help
 	file, err := parser.ParseBytes(text, 0)
 	if err != nil {
 		return
