--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -93,10 +93,16 @@
 // noServerRetry is when to come back while no server is known.
 const noServerRetry = tracker.Silence
 
+// Picker chooses the server for a request among those of a pool.
+type Picker interface {
+	Pick(now time.Time, servers []*tracker.Server, request picker.Request) *tracker.Server
+}
+
 // Model decides for one entry instance. The zero value knows no servers.
 type Model struct {
 	Servers tracker.Table
-	Picker  picker.Picker
+	// Picker, unless set, is picker.Picker.
+	Picker Picker
 
 	now     time.Time
 	queues  map[string]*queue
@@ -127,6 +133,9 @@
 		m.waiting = map[uint64]*queue{}
 		m.running = map[uint64]running{}
 	}
+	if m.Picker == nil {
+		m.Picker = &picker.Picker{}
+	}
 	m.now = now
 	m.cmds = nil
 	switch msg := msg.(type) {
