picker: score by what a server has yet to read

Cause: the score weighed a server's whole remaining work, so that a busy batch outweighed a cached history and affinity was given up for nothing: engines batch, and only prompts wait for each other. Ruled out: the cache size (300 prefixes for 150 histories). Change: the gate tracks what it sent and no first token has answered; the score is that plus the prefill not cached, over the server's relative speed; a server with 8000 tokens unread gets no more.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -119,6 +119,11 @@
 	_ = d.ring.Put(ctx, envelope{msg: Done{ID: id, Unused: true}})
 }
 
+// Began notes that the first byte of an assigned request's answer has come.
+func (d *Dispatcher) Began(ctx context.Context, id uint64) {
+	_ = d.ring.Put(ctx, envelope{msg: Began{ID: id}})
+}
+
 // Release ends the work of an assigned request.
 func (d *Dispatcher) Release(ctx context.Context, done Done) {
 	_ = d.ring.Put(ctx, envelope{msg: done})
--- a/internal/dispatcher/measure_test.go
+++ b/internal/dispatcher/measure_test.go
@@ -71,6 +71,7 @@
 				wait := first.Sub(start.Add(a.at))
 				got.first = append(got.first, wait)
 				got.byUser[a.workspace] = append(got.byUser[a.workspace], wait)
+				todo.add(first, func(now time.Time) { update(now, dispatcher.Began{ID: cmd.ID}) })
 				todo.add(end, func(now time.Time) {
 					e.finish(now, a)
 					update(now, dispatcher.Done{ID: cmd.ID, Tokens: a.output, Elapsed: end.Sub(first)})
--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -35,6 +35,10 @@
 	Request      picker.Request
 }
 
+// Began notes that an assigned request's first token has come: its prompt has
+// been read.
+type Began struct{ ID uint64 }
+
 // Done ends the work of an assigned request.
 type Done struct {
 	ID uint64
@@ -55,6 +59,7 @@
 
 func (Announce) isMsg() {}
 func (Enqueue) isMsg()  {}
+func (Began) isMsg()    {}
 func (Done) isMsg()     {}
 func (Cancel) isMsg()   {}
 func (Tick) isMsg()     {}
@@ -123,7 +128,7 @@
 type running struct {
 	server string
 	pool   string
-	tokens int64
+	work   tracker.Work
 }
 
 // Update takes one message and returns the commands that follow from it.
@@ -143,6 +148,8 @@
 		m.Servers.Announce(now, msg.Announcement)
 	case Enqueue:
 		m.enqueue(msg)
+	case Began:
+		m.began(msg.ID)
 	case Done:
 		m.done(msg)
 	case Cancel:
@@ -254,10 +261,12 @@
 }
 
 func (m *Model) assign(request Enqueue, pool string, server *tracker.Server) {
-	work := tracker.Work{Requests: 1, Tokens: request.OutputTokens}
+	prefill := picker.Prefill(m.Servers.InPool(m.now, pool), server, request.Request)
+	work := tracker.Work{Requests: 1, Tokens: request.OutputTokens, Prefill: prefill}
 	server.Own.Requests += work.Requests
 	server.Own.Tokens += work.Tokens
-	m.running[request.ID] = running{server: server.Name, pool: pool, tokens: work.Tokens}
+	server.Own.Prefill += work.Prefill
+	m.running[request.ID] = running{server: server.Name, pool: pool, work: work}
 	m.cmds = append(m.cmds, Assign{ID: request.ID, Pool: pool, Server: server.Announcement})
 }
 
@@ -269,6 +278,18 @@
 	return room
 }
 
+func (m *Model) began(id uint64) {
+	work, known := m.running[id]
+	if !known {
+		return
+	}
+	if server, known := m.Servers.Server(work.server); known {
+		server.Own.Prefill -= work.work.Prefill
+	}
+	work.work.Prefill = 0
+	m.running[id] = work
+}
+
 func (m *Model) done(done Done) {
 	work, known := m.running[done.ID]
 	if !known {
@@ -279,8 +300,9 @@
 	if !known {
 		return
 	}
-	server.Own.Requests--
-	server.Own.Tokens -= work.tokens
+	server.Own.Requests -= work.work.Requests
+	server.Own.Tokens -= work.work.Tokens
+	server.Own.Prefill -= work.work.Prefill
 	if done.Unused {
 		return
 	}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -1,8 +1,8 @@
 // Package picker chooses the backend server for a request.
 //
 // The one idea: every candidate gets an expected time to the first token, the
-// wait for the work before it plus the prefill that its cache does not save,
-// and the lowest goes. A prefix is expected in the cache of the server that
+// prompts that it has yet to read before this one and what of this one its
+// cache does not save, and the lowest goes. A prefix is expected in the cache of the server that
 // rendezvous hashing gives it, so that all instances of a failure domain send
 // it to the same place without talking to each other.
 package picker
@@ -20,8 +20,12 @@
 const (
 	// prefillSpeed is in tokens per second.
 	prefillSpeed = 8000.0
-	// decodeSpeed is in tokens per second, over all requests of a batch.
-	decodeSpeed = 1500.0
+	// fullBatchDrag is what a full batch adds to a first token, in seconds.
+	fullBatchDrag = 0.1
+	// maxPrefill is the most that is sent to a server before it has read what
+	// it was sent, in tokens. The rest waits here, where it can still be
+	// given to another.
+	maxPrefill = 8000
 	// cachedShare is what a prefill costs when the prefix is cached.
 	cachedShare = 0.1
 )
@@ -63,11 +67,12 @@
 	var best *tracker.Server
 	bestScore := 0.0
 	home := affine(servers, request.Prefix)
+	fastest := fastest(servers)
 	for _, server := range servers {
 		if slots(now, server) <= 0 || slices.Contains(request.Tried, server.Name) {
 			continue
 		}
-		score := p.score(server, request, server == home)
+		score := p.score(server, request, server == home, fastest)
 		if best == nil || score < bestScore {
 			best = server
 			bestScore = score
@@ -77,20 +82,37 @@
 }
 
 // score is the expected time to the first token, in seconds.
-func (p *Picker) score(server *tracker.Server, request Request, home bool) float64 {
-	work := float64(server.Own.Tokens + server.Others().Tokens)
-	speed := decodeSpeed
+func (p *Picker) score(server *tracker.Server, request Request, home bool, fastest float64) float64 {
+	cached := home || p.Hints != nil && p.Hints(server.Name, request.Prefix)
+	prefill := float64(server.Own.Prefill + prefillOf(request, cached))
+	batch := float64(server.Own.Requests+server.Others().Requests) / float64(max(server.MaxRunning, 1))
+	slowness := 1.0
 	if server.Speed > 0 {
-		speed = server.Speed
+		slowness = fastest / server.Speed
 	}
-	occupied := float64(server.Own.Requests+server.Others().Requests) / float64(max(server.MaxRunning, 1))
-	wait := occupied * work / speed
-	prefill := float64(request.PromptTokens)
-	cached := home || p.Hints != nil && p.Hints(server.Name, request.Prefix)
-	if cached {
-		prefill -= (1 - cachedShare) * float64(request.PrefixTokens)
+	return slowness * (prefill/prefillSpeed + batch*fullBatchDrag)
+}
+
+// Prefill returns how much of a prompt a server will have to read.
+func Prefill(servers []*tracker.Server, server *tracker.Server, request Request) int64 {
+	return prefillOf(request, affine(servers, request.Prefix) == server)
+}
+
+func prefillOf(request Request, cached bool) int64 {
+	if !cached {
+		return request.PromptTokens
 	}
-	return wait + prefill/prefillSpeed
+	saved := (1 - cachedShare) * float64(request.PrefixTokens)
+	return request.PromptTokens - int64(saved)
+}
+
+// fastest returns the highest speed seen of any server.
+func fastest(servers []*tracker.Server) float64 {
+	highest := 0.0
+	for _, server := range servers {
+		highest = max(highest, server.Speed)
+	}
+	return highest
 }
 
 // affine returns the server that rendezvous hashing gives a prefix.
@@ -123,6 +145,9 @@
 // ramped, and one that comes back from an ejection is probed with one.
 func slots(now time.Time, server *tracker.Server) int {
 	free := server.Free()
+	if server.Own.Prefill >= maxPrefill {
+		return 0
+	}
 	if now.Before(server.EjectedUntil) {
 		return 0
 	}
--- a/internal/sender/attempt.go
+++ b/internal/sender/attempt.go
@@ -35,6 +35,8 @@
 	base      string
 	transport http.RoundTripper
 	relay     bool
+	// began, if set, is called when the first byte of a stream comes.
+	began func()
 }
 
 func newTransport(keep bool) *http.Transport {
@@ -58,7 +60,7 @@
 // exchange makes one attempt, and resumes its stream when that is cut. It
 // returns the tokens that were generated, as far as they were seen.
 func (s *Sender) exchange(ctx context.Context, x *exchanger.Exchange, t target) (verdict, int64) {
-	stream := &stream{x: x, counters: s.counters}
+	stream := &stream{x: x, counters: s.counters, began: t.began}
 	for resume := range maxResumes + 1 {
 		result := s.send(ctx, x, t, stream)
 		resumable := result == cut && stream.lastEvent != "" && ctx.Err() == nil && x.Attempt == ""
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -28,6 +28,8 @@
 // Servers gives out backend servers.
 type Servers interface {
 	Acquire(ctx context.Context, request dispatcher.Enqueue) (dispatcher.Cmd, error)
+	// Began notes that the first byte of an answer has come.
+	Began(ctx context.Context, id uint64)
 	Release(ctx context.Context, done dispatcher.Done)
 }
 
@@ -139,6 +141,7 @@
 	x.Result.Pool = assigned.Pool
 	started := time.Now()
 	target := target{base: "http://" + assigned.Server.Address.String(), transport: s.transport(x)}
+	target.began = func() { s.servers.Began(ctx, assigned.ID) }
 	result, tokens := s.exchange(ctx, x, target)
 	done := dispatcher.Done{ID: assigned.ID, Tokens: tokens, Elapsed: time.Since(started)}
 	done.Unused = ctx.Err() != nil && result != answered
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -43,6 +43,8 @@
 	return f.model.Update(now, request)[0], nil
 }
 
+func (f *fakes) Began(context.Context, uint64) {}
+
 func (f *fakes) Release(_ context.Context, done dispatcher.Done) {
 	f.model.Update(time.Unix(100, 0), done)
 }
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -31,6 +31,7 @@
 type stream struct {
 	x        *exchanger.Exchange
 	counters Counters
+	began    func()
 	// started means that a byte has reached the caller.
 	started bool
 	// lastEvent is the id of the last event that was passed on.
@@ -114,6 +115,9 @@
 func (s *stream) write(response *http.Response, next event) error {
 	if !s.started {
 		s.started = true
+		if s.began != nil {
+			s.began()
+		}
 		s.x.Result.FirstByte = time.Now()
 		s.x.Result.Status = response.StatusCode
 		copyHeaders(s.x.Writer.Header(), response.Header)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -77,6 +77,9 @@
 type Work struct {
 	Requests int
 	Tokens   int64
+	// Prefill is the part of the prompts that is still to be read, in
+	// tokens. Only an instance's own is known.
+	Prefill int64
 }
 
 // Others returns the work that the server has of other instances, by its own
