queuer: a freed slot goes to a waiting request whose cached history is there; slopes measured

Cause: under overload the head of the queue took whatever slot was free, so that affinity was lost just when it saves most. Change: the first 16 waiting are looked at, and the first that suits the free servers goes; each is passed over 16 times at most.

--- a/internal/dispatcher/measure_test.go
+++ b/internal/dispatcher/measure_test.go
@@ -194,6 +194,48 @@
 	return worst / (all / float64(count))
 }
 
+// others are the waits of all but the greedy workspace.
+func (f figures) others() []time.Duration {
+	var waits []time.Duration
+	for name, own := range f.byUser {
+		if name != "greedy" {
+			waits = append(waits, own...)
+		}
+	}
+	return waits
+}
+
+// BenchmarkDecision is one request through the dispatcher at the size of a
+// large failure domain.
+func BenchmarkDecision(b *testing.B) {
+	for _, servers := range []int{5, 50} {
+		b.Run(fmt.Sprintf("servers-%d", servers), func(b *testing.B) {
+			var model dispatcher.Model
+			now := time.Unix(50_000, 0)
+			for i := range servers {
+				model.Update(now.Add(-time.Minute), dispatcher.Announce{Announcement: tracker.Announcement{
+					Name: fmt.Sprintf("e%d", i), Pools: []string{"p"}, State: tracker.StateReady, MaxRunning: 64, Counter: 1,
+				}})
+				model.Update(now, dispatcher.Announce{Announcement: tracker.Announcement{
+					Name: fmt.Sprintf("e%d", i), Pools: []string{"p"}, State: tracker.StateReady, MaxRunning: 64, Counter: 2,
+				}})
+			}
+			pools := []string{"p"}
+			id := uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				model.Update(now, dispatcher.Enqueue{
+					ID: id, Workspace: "w", Weight: 1, Pools: pools, Deadline: now.Add(time.Minute), OutputTokens: 100,
+					Request: picker.Request{Prefix: id, PromptTokens: 900, PrefixTokens: 800},
+				})
+				model.Update(now, dispatcher.Began{ID: id})
+				model.Update(now, dispatcher.Done{ID: id, Tokens: 100, Elapsed: time.Second})
+			}
+		})
+	}
+}
+
 // BenchmarkChoosing sets the picker beside the baselines on the same loads.
 func BenchmarkChoosing(b *testing.B) {
 	loads := []struct {
@@ -232,6 +274,7 @@
 				b.ReportMetric(100*(1-float64(got.prefill)/float64(got.prompts)), "%prefill-saved")
 				b.ReportMetric(float64(got.prefill)/1000, "kilotokens-prefilled")
 				b.ReportMetric(got.worst(), "worst/mean")
+				b.ReportMetric(percentile(got.others(), 0.95), "others-p95-ms")
 				b.ReportMetric(100*float64(got.refused)/float64(got.asked), "%refused")
 				b.ReportMetric(0, "ns/op")
 			})
--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -245,7 +245,7 @@
 	if m.room(q.pools) == 0 {
 		return false
 	}
-	item, _ := q.Pop(m.now)
+	item, _ := q.PopSuited(m.now, func(id uint64) bool { return m.suits(q.requests[id]) })
 	request := q.requests[item.ID]
 	m.forget(q, item.ID)
 	for _, pool := range request.Pools {
@@ -260,6 +260,17 @@
 	return true
 }
 
+// suits reports whether the server that has a request's prefix has room, or
+// whether the request has no prefix that is worth waiting for.
+func (m *Model) suits(request Enqueue) bool {
+	if request.Request.PrefixTokens < picker.WorthwhilePrefix {
+		return true
+	}
+	return slices.ContainsFunc(request.Pools, func(pool string) bool {
+		return picker.HomeHasRoom(m.now, m.Servers.InPool(m.now, pool), request.Request)
+	})
+}
+
 func (m *Model) assign(request Enqueue, pool string, server *tracker.Server) {
 	prefill := picker.Prefill(m.Servers.InPool(m.now, pool), server, request.Request)
 	work := tracker.Work{Requests: 1, Tokens: request.OutputTokens, Prefill: prefill}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -93,6 +93,17 @@
 	return slowness * (prefill/prefillSpeed + batch*fullBatchDrag)
 }
 
+// WorthwhilePrefix is the prefix that is worth waiting for its server, in
+// tokens.
+const WorthwhilePrefix = 500
+
+// HomeHasRoom reports whether the server that has a request's prefix may take
+// it now.
+func HomeHasRoom(now time.Time, servers []*tracker.Server, request Request) bool {
+	home := affine(servers, request.Prefix)
+	return home != nil && slots(now, home) > 0 && !slices.Contains(request.Tried, home.Name)
+}
+
 // Prefill returns how much of a prompt a server will have to read.
 func Prefill(servers []*tracker.Server, server *tracker.Server, request Request) int64 {
 	return prefillOf(request, affine(servers, request.Prefix) == server)
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -26,6 +26,7 @@
 	start    float64
 	order    uint64
 	position int
+	passed   int
 }
 
 // Queue is a fair queue. The zero value is empty. It is not safe for
@@ -77,6 +78,45 @@
 	return *item, true
 }
 
+// Bounds of passing over.
+const (
+	// lookahead is how many requests at the head are looked at.
+	lookahead = 16
+	// maxPassed is how often a request may be passed over.
+	maxPassed = 16
+)
+
+// PopSuited removes the first request at the head that suits what is free
+// now. Those passed over keep their places and are passed over only so often;
+// when none suits, the head goes.
+func (q *Queue) PopSuited(now time.Time, suits func(id uint64) bool) (Item, bool) {
+	var passed []*Item
+	var chosen *Item
+	for len(passed) < lookahead && q.items.Len() > 0 {
+		item := heap.Pop(&q.items).(*Item)
+		if item.passed >= maxPassed || suits(item.ID) {
+			chosen = item
+			break
+		}
+		passed = append(passed, item)
+	}
+	if chosen == nil && len(passed) > 0 {
+		chosen = passed[0]
+		passed = passed[1:]
+	}
+	for _, item := range passed {
+		item.passed++
+		heap.Push(&q.items, item)
+	}
+	if chosen == nil {
+		return Item{}, false
+	}
+	q.virtual = max(q.virtual, chosen.start)
+	q.forget(chosen)
+	q.drain.note(now, chosen.Cost)
+	return *chosen, true
+}
+
 // Remove takes a request out, as when its caller has gone.
 func (q *Queue) Remove(id uint64) bool {
 	item, known := q.byID[id]
