--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -7,7 +7,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/boragehead/boragehead/internal/gossiper"
@@ -110,7 +109,7 @@
 	Picker Picker
 
 	now     time.Time
-	queues  map[string]*queue
+	// order holds the queues; there is one for each list of pools.
 	order   []*queue
 	waiting map[uint64]*queue
 	running map[uint64]running
@@ -133,8 +132,7 @@
 
 // Update takes one message and returns the commands that follow from it.
 func (m *Model) Update(now time.Time, msg Msg) []Cmd {
-	if m.queues == nil {
-		m.queues = map[string]*queue{}
+	if m.waiting == nil {
 		m.waiting = map[uint64]*queue{}
 		m.running = map[uint64]running{}
 	}
@@ -167,13 +165,7 @@
 		m.refuse(request.ID, ReasonNoServer, noServerRetry)
 		return
 	}
-	name := strings.Join(request.Pools, " ")
-	q, known := m.queues[name]
-	if !known {
-		q = &queue{pools: request.Pools, requests: map[uint64]Enqueue{}}
-		m.queues[name] = q
-		m.order = append(m.order, q)
-	}
+	q := m.queueOf(request.Pools)
 	wait, ok := q.Push(m.now, queuer.Item{
 		ID: request.ID, Workspace: request.Workspace, Weight: request.Weight,
 		Cost: cost(request), Deadline: request.Deadline,
@@ -186,6 +178,18 @@
 	m.waiting[request.ID] = q
 }
 
+// queueOf returns the queue of the requests that wait for the same pools.
+func (m *Model) queueOf(pools []string) *queue {
+	for _, q := range m.order {
+		if slices.Equal(q.pools, pools) {
+			return q
+		}
+	}
+	q := &queue{pools: pools, requests: map[uint64]Enqueue{}}
+	m.order = append(m.order, q)
+	return q
+}
+
 // cost is the work of a request: prefill is cheaper than decoding.
 func cost(request Enqueue) float64 {
 	const prefillCost = 0.2
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -11,8 +11,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/boragehead/boragehead/internal/tracker"
 )
 
@@ -134,7 +132,7 @@
 	var best *tracker.Server
 	var bestHash uint64
 	for _, server := range servers {
-		hash := mix(xxhash.Sum64String(server.Name) ^ prefix)
+		hash := mix(server.Hash ^ prefix)
 		if best == nil || hash > bestHash {
 			best = server
 			bestHash = hash
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -4,11 +4,12 @@
 package tracker
 
 import (
-	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Times of announcements.
@@ -69,6 +70,8 @@
 	// Failures in a row, and until when the server is ejected for them.
 	Failures     int
 	EjectedUntil time.Time
+	// Hash is of the name, for rendezvous hashing.
+	Hash uint64
 	// Since is when the server was first heard in this incarnation.
 	Since time.Time
 }
@@ -99,6 +102,15 @@
 // not safe for concurrent use.
 type Table struct {
 	servers map[string]*Server
+	// pools holds the servers of each pool, sorted by name, and a buffer for
+	// those that are usable.
+	pools map[string]*pool
+}
+
+// pool is the servers that announce a pool.
+type pool struct {
+	servers []*Server
+	usable  []*Server
 }
 
 // Announce takes an announcement in. It reports false for one that is older
@@ -109,7 +121,10 @@
 	}
 	known, exists := t.servers[announcement.Name]
 	if !exists {
-		t.servers[announcement.Name] = &Server{Announcement: announcement, Heard: now, Since: now}
+		t.servers[announcement.Name] = &Server{
+			Announcement: announcement, Heard: now, Since: now, Hash: xxhash.Sum64String(announcement.Name),
+		}
+		t.index()
 		return true
 	}
 	if !newer(announcement, known.Announcement) {
@@ -120,12 +135,30 @@
 		known.Failures = 0
 		known.EjectedUntil = time.Time{}
 	}
+	moved := !slices.Equal(known.Pools, announcement.Pools)
 	known.Announcement = announcement
 	known.Heard = now
 	known.OwnAtReport = known.Own
+	if moved {
+		t.index()
+	}
 	return true
 }
 
+// index rebuilds the pools; servers come, go and move seldom.
+func (t *Table) index() {
+	t.pools = map[string]*pool{}
+	for _, name := range slices.Sorted(maps.Keys(t.servers)) {
+		server := t.servers[name]
+		for _, in := range server.Pools {
+			if t.pools[in] == nil {
+				t.pools[in] = &pool{}
+			}
+			t.pools[in].servers = append(t.pools[in].servers, server)
+		}
+	}
+}
+
 func newer(a, b Announcement) bool {
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
@@ -144,16 +177,20 @@
 	return s.State == StateReady && now.Sub(s.Heard) < Silence
 }
 
-// InPool returns the usable servers of a pool, sorted by name.
-func (t *Table) InPool(now time.Time, pool string) []*Server {
-	var servers []*Server
-	for _, server := range t.servers {
-		if server.Usable(now) && slices.Contains(server.Pools, pool) {
-			servers = append(servers, server)
+// InPool returns the usable servers of a pool, sorted by name. The slice is
+// valid until the next call for the same pool.
+func (t *Table) InPool(now time.Time, name string) []*Server {
+	p, known := t.pools[name]
+	if !known {
+		return nil
+	}
+	p.usable = p.usable[:0]
+	for _, server := range p.servers {
+		if server.Usable(now) {
+			p.usable = append(p.usable, server)
 		}
 	}
-	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.Name, b.Name) })
-	return servers
+	return p.usable
 }
 
 // Pools returns the names of all pools that a usable server serves, sorted.
@@ -173,7 +210,11 @@
 // Forget drops servers that have been silent for long and have no work here.
 func (t *Table) Forget(now time.Time) {
 	const memory = 10 * time.Minute
+	before := len(t.servers)
 	maps.DeleteFunc(t.servers, func(_ string, server *Server) bool {
 		return now.Sub(server.Heard) > memory && server.Own.Requests == 0
 	})
+	if len(t.servers) < before {
+		t.index()
+	}
 }
