granter: the planner looks only at what was touched

Change: workspaces are queued when their tables, demand or consents change, all of them when an instance comes or goes and once a minute, and at most 500 are looked at in one interval. Fleet tests pass, -race.

--- a/internal/granter/planner.go
+++ b/internal/granter/planner.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -34,6 +35,13 @@
 	contacts map[string]contact
 	demand   map[string]map[string]float64
 	moved    map[string]time.Time
+
+	// waiting are the workspaces to look at, oldest first.
+	waiting []string
+	queued  map[string]bool
+	// live is who was live when all workspaces were last queued, and when.
+	live   string
+	looked time.Time
 }
 
 // contact is when an instance last asked.
@@ -50,7 +58,49 @@
 		contacts: map[string]contact{},
 		demand:   map[string]map[string]float64{},
 		moved:    map[string]time.Time{},
+		queued:   map[string]bool{},
+	}
+}
+
+// fullLook is the time after which all workspaces are looked at again, also
+// when nothing is known to have changed.
+const fullLook = time.Minute
+
+// Touch queues a workspace: something about it has changed.
+func (p *Planner) Touch(workspace string) {
+	if p.queued[workspace] {
+		return
+	}
+	p.queued[workspace] = true
+	p.waiting = append(p.waiting, workspace)
+}
+
+// Due returns the workspaces to look at now, at most so many. All are due when
+// an instance has come or gone; otherwise those that were touched.
+func (p *Planner) Due(now time.Time, ledger *Ledger, most int) []string {
+	live := p.liveNames(now)
+	if live != p.live || now.Sub(p.looked) >= fullLook {
+		p.live = live
+		p.looked = now
+		for _, workspace := range slices.Sorted(maps.Keys(ledger.Accounts)) {
+			p.Touch(workspace)
+		}
 	}
+	due := p.waiting[:min(most, len(p.waiting))]
+	p.waiting = slices.Clone(p.waiting[len(due):])
+	for _, workspace := range due {
+		delete(p.queued, workspace)
+	}
+	return due
+}
+
+func (p *Planner) liveNames(now time.Time) string {
+	var names []string
+	for _, instance := range p.Live(now) {
+		names = append(names, instance.Name)
+	}
+	slices.Sort(names)
+	return strings.Join(names, " ")
 }
 
 // Renew notes that an instance asked. It reports false while the instance's
@@ -70,6 +120,7 @@
 		p.demand[workspace] = map[string]float64{}
 	}
 	p.demand[workspace][instance] = rate
+	p.Touch(workspace)
 }
 
 // Surrender notes that an instance has given its leased parts up. They are
@@ -149,9 +200,13 @@
 		}
 	}
 	if !p.worthwhile(now, current, workspace, shares) {
+		if current.short() {
+			p.Touch(workspace)
+		}
 		return nil
 	}
 	p.moved[workspace] = now
+	p.Touch(workspace) // to raise from what holders have lowered since
 	return &Plan{Workspace: workspace, Shares: shares}
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -39,6 +39,8 @@
 	contacts map[string]contact
 	planner  *granter.Planner
 	planTerm replicator.Term
+	// planned is the revision that the planner has looked at.
+	planned tabler.Revision
 	changed  chan struct{}
 }
 
--- a/internal/keeper/ledger.go
+++ b/internal/keeper/ledger.go
@@ -14,9 +14,12 @@
 	"github.com/boragehead/boragehead/internal/tabler"
 )
 
-// planInterval is the time between two looks at the whole ledger.
+// planInterval is the time between two looks at the ledger.
 const planInterval = 500 * time.Millisecond
 
+// planMost bounds the workspaces that are looked at in one interval.
+const planMost = 500
+
 // serveSync renews a holder's lease and tells it its grants. The lease is
 // renewed only after a quorum confirms that this keeper still leads: a new
 // leader waits out every lease that an old one may have renewed.
@@ -54,6 +57,9 @@
 	if !current {
 		return false
 	}
+	for _, consent := range query.Consents {
+		k.planner.Touch(consent.Workspace)
+	}
 	for workspace, rate := range query.Demand {
 		k.planner.Demand(query.Instance.Name, workspace, rate)
 	}
@@ -119,6 +125,7 @@
 	if k.planner == nil || k.planTerm != status.Term {
 		k.planner = granter.NewPlanner(now)
 		k.planTerm = status.Term
+		k.planned = 0
 	}
 	k.mu.Unlock()
 	for _, c := range k.due(now) {
@@ -138,7 +145,8 @@
 		for _, instance := range k.planner.Lapsed(now, ledger) {
 			due = append(due, granter.Command{Lapse: &granter.Lapse{Instance: instance}})
 		}
-		for workspace := range ledger.Accounts {
+		k.touchChanged(state)
+		for _, workspace := range k.planner.Due(now, ledger, planMost) {
 			home := state.Workspaces[workspace].Value.HomeRegion
 			if plan := k.planner.Plan(now, ledger, workspace, home); plan != nil {
 				due = append(due, granter.Command{Plan: plan})
@@ -148,6 +156,22 @@
 	return due
 }
 
+// touchChanged queues the workspaces that the tables have changed since the
+// last look.
+func (k *Keeper) touchChanged(state *tabler.State) {
+	if state.Revision == k.planned {
+		return
+	}
+	delta := state.Delta(k.planned)
+	k.planned = state.Revision
+	for _, workspace := range delta.Put.Workspaces {
+		k.planner.Touch(workspace.Name)
+	}
+	for _, name := range delta.Removed {
+		k.planner.Touch(name.Name)
+	}
+}
+
 func (k *Keeper) proposePlan(ctx context.Context, term replicator.Term, c granter.Command) error {
 	data, err := cbor.Marshal(command{Ledger: &c})
 	if err != nil {
