--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -108,7 +108,7 @@
 	// Picker, unless set, is picker.Picker.
 	Picker Picker
 
-	now     time.Time
+	now time.Time
 	// order holds the queues; there is one for each list of pools.
 	order   []*queue
 	waiting map[uint64]*queue
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -86,7 +86,9 @@
 		}
 	}
 	isGone := func(_, b gossiper.Entry) bool { return b.Name == gone }
-	run(12, func(a, b gossiper.Entry) bool { return isGone(a, b) || (a.Region == "region-1") != (b.Region == "region-1") })
+	run(12, func(a, b gossiper.Entry) bool {
+		return isGone(a, b) || (a.Region == "region-1") != (b.Region == "region-1")
+	})
 	for _, table := range tables {
 		for _, entry := range table.Live(now) {
 			assert.Equal(t, entry.Region == "region-1", table.Own().Region == "region-1")
--- a/internal/granter/planner.go
+++ b/internal/granter/planner.go
@@ -20,6 +20,10 @@
 // floorShare is the part of the whole that holders keep without contact.
 const floorShare = 0.5
 
+// idleShare is the demand that is assumed of all holders together, as a part
+// of the whole, so that one that is asked nothing yet has something.
+const idleShare = 0.1
+
 // replanShare is the part of the leased whole that must be misplaced before
 // demand alone moves it.
 const replanShare = 0.2
@@ -227,15 +231,14 @@
 	floors := current.Whole.Scale(floorShare / float64(len(holders)))
 	leased := current.Whole.Scale(1 - floorShare)
 	total := 0.0
-	weights := map[string]float64{}
-	base := current.Whole.RateTokens()*0.1/float64(len(holders)) + 1
+	base := current.Whole.RateTokens()*idleShare/float64(len(holders)) + 1
+	weight := func(holder Instance) float64 { return p.demand[workspace][holder.Name] + base }
 	for _, holder := range holders {
-		weights[holder.Name] = p.demand[workspace][holder.Name] + base
-		total += weights[holder.Name]
+		total += weight(holder)
 	}
 	shares := map[string]Share{}
-	for name, weight := range weights {
-		shares[name] = Share{Floor: floors, Leased: leased.Scale(weight / total)}
+	for _, holder := range holders {
+		shares[holder.Name] = Share{Floor: floors, Leased: leased.Scale(weight(holder) / total)}
 	}
 	return shares
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -41,7 +41,7 @@
 	planTerm replicator.Term
 	// planned is the revision that the planner has looked at.
 	planned tabler.Revision
-	changed  chan struct{}
+	changed chan struct{}
 }
 
 // New opens a keeper's state from its disk.
--- a/internal/runner/fleet_test.go
+++ b/internal/runner/fleet_test.go
@@ -50,7 +50,7 @@
 
 // testFleet is a fleet in one process, over real sockets on loopback.
 type testFleet struct {
-	t       *testing.T
+	t       testing.TB
 	folder  string
 	links   *links
 	client  *operator.Client
@@ -65,7 +65,7 @@
 // newFleet starts three keepers, two in the north and one in the south, and
 // the entry instances n1 and n2 in the north and s1 in the south, each region
 // with an engine.
-func newFleet(t *testing.T) *testFleet {
+func newFleet(t testing.TB) *testFleet {
 	f := &testFleet{
 		t: t, folder: t.TempDir(), links: newLinks(), gates: map[string]loader.Gate{}, stops: map[string]func(){},
 		servers: map[string]*imitator.Server{}, tellers: map[string]*imitator.Announcer{},
