--- a/internal/replicator/model.go
+++ b/internal/replicator/model.go
@@ -23,8 +23,8 @@
 // Default times. An election timeout is drawn between one and two times
 // ElectionTimeout.
 const (
-	DefaultElectionTimeout = 600 * time.Millisecond
-	DefaultHeartbeat       = 100 * time.Millisecond
+	DefaultElectionTimeout = 1200 * time.Millisecond
+	DefaultHeartbeat       = 200 * time.Millisecond
 	// maxAppendEntries bounds the entries of one message.
 	maxAppendEntries = 256
 )
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -19,7 +19,7 @@
 )
 
 // Hold is how long a watch waits for news before it is answered empty.
-const Hold = time.Second
+const Hold = 2 * time.Second
 
 // Query asks for what a follower lacks.
 type Query struct {
