orderer: fencing of orders to engines, as a model

Every order's number is the index of its entry in the keepers' log. An order is sent only while it is fresh, counted from before it was numbered, and the next one for a server waits until the one before can no longer be sent; a new leader waits a whole lifetime. Tests: orders held by frozen instances under changing leaders never arrive after a newer one; a frozen sender sends nothing to a stand-in that does not check.

--- a/internal/imitator/imitator.go
+++ b/internal/imitator/imitator.go
@@ -47,6 +47,8 @@
 	TokenInterval time.Duration
 	// Keep makes it remember all bytes that it gets.
 	Keep bool
+	// ChecksFencing makes it refuse orders with an old fencing number.
+	ChecksFencing bool
 
 	mu       sync.Mutex
 	faults   []Fault
@@ -56,6 +58,8 @@
 	tokens   int64
 	total    int
 	hold     chan struct{}
+	orders   []string
+	newest   uint64
 }
 
 // Misbehave sets the faults of the next requests, one each.
@@ -118,6 +122,10 @@
 	if err != nil {
 		return
 	}
+	if r.URL.Path == ordersPath {
+		s.takeOrder(w, r, body)
+		return
+	}
 	fault := s.begin(r, body)
 	if fault == FaultRefuse {
 		w.Header().Set(exchanger.HeaderOutcome, string(exchanger.OutcomeNotRun))
