orderer: orders reach engines through the whole path

Operators give orders by 'servers order'; the leader numbers them when the delivering instance asks, so that a late delivery gets no number. Test: TestOrdersReachEngines over real sockets, passed, -race.

--- a/cmd/boragehead/certificates.go
+++ b/cmd/boragehead/certificates.go
@@ -18,8 +18,8 @@
 	flagAddress = "address"
 )
 
-// servers writes how many servers a pool has and how many requests they take.
-func servers(count, free int) string {
+// serverCount writes how many servers a pool has and how many requests they take.
+func serverCount(count, free int) string {
 	return fmt.Sprintf("(%d, %d)", count, free)
 }
 
--- a/cmd/boragehead/fleet.go
+++ b/cmd/boragehead/fleet.go
@@ -124,7 +124,7 @@
 	for _, i := range status.Instances {
 		var pools []string
 		for _, pool := range i.Pools {
-			pools = append(pools, pool.Pool+" "+servers(pool.Servers, pool.Free))
+			pools = append(pools, pool.Pool+" "+serverCount(pool.Servers, pool.Free))
 		}
 		line(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s", i.Name, i.Region, i.FailureDomain, i.State, i.Revision, i.Silent, strings.Join(pools, "; "))
 	}
--- a/cmd/boragehead/main.go
+++ b/cmd/boragehead/main.go
@@ -21,6 +21,7 @@
 			keysCommand(),
 			instancesCommand(),
 			keepersCommand(),
+			serversCommand(),
 			statusCommand(),
 			reportCommand(),
 			certificatesCommand(),
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -26,6 +26,7 @@
 	waiting map[uint64]chan Cmd
 	nextID  atomic.Uint64
 	summary atomic.Pointer[[]gossiper.PoolSummary]
+	servers atomic.Pointer[map[string]tracker.Announcement]
 }
 
 // envelope is a message with the channel that its answer goes to.
@@ -42,6 +43,7 @@
 		waiting: map[uint64]chan Cmd{},
 	}
 	d.summary.Store(&[]gossiper.PoolSummary{})
+	d.servers.Store(&map[string]tracker.Announcement{})
 	return d
 }
 
@@ -55,8 +57,7 @@
 			return nil
 		case <-ticker.C:
 			d.perform(d.model.Update(time.Now(), Tick{}))
-			summary := d.model.Summary(time.Now())
-			d.summary.Store(&summary)
+			d.publish(time.Now())
 		case e := <-d.ring.Items():
 			d.expect(e)
 			d.perform(d.model.Update(time.Now(), e.msg))
@@ -64,6 +65,19 @@
 	}
 }
 
+// publish shows the servers to other goroutines.
+func (d *Dispatcher) publish(now time.Time) {
+	summary := d.model.Summary(now)
+	d.summary.Store(&summary)
+	servers := d.model.Servers.Announced(now)
+	d.servers.Store(&servers)
+}
+
+// Servers returns the usable servers here, by name.
+func (d *Dispatcher) Servers() map[string]tracker.Announcement {
+	return *d.servers.Load()
+}
+
 // expect notes where the answer to a message goes, or that nobody waits for
 // it any more.
 func (d *Dispatcher) expect(e envelope) {
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -94,6 +94,8 @@
 	messenger.Handle(mux, methodFound, keepers, k.serveFound)
 	messenger.Handle(mux, methodAdmit, keepers, k.serveAdmit)
 	messenger.Handle(mux, methodRevoke, keepers, k.serveRevoke)
+	messenger.Handle(mux, methodOrder, keepers, k.serveOrder)
+	messenger.Handle(mux, MethodNumber, gates, k.serveNumber)
 	messenger.Handle(mux, MethodWatch, gates, k.serveWatch)
 	messenger.Handle(mux, MethodSync, gates, k.serveSync)
 	messenger.Handle(mux, MethodClaim, gates, k.serveClaim)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -41,6 +41,7 @@
 	planTerm replicator.Term
 	// planned is the revision that the planner has looked at.
 	planned tabler.Revision
+	orders  orderBook
 	changed chan struct{}
 }
 
--- a/internal/keeper/machine.go
+++ b/internal/keeper/machine.go
@@ -9,6 +9,7 @@
 
 	"github.com/boragehead/boragehead/internal/claimer"
 	"github.com/boragehead/boragehead/internal/granter"
+	"github.com/boragehead/boragehead/internal/orderer"
 	"github.com/boragehead/boragehead/internal/replicator"
 	"github.com/boragehead/boragehead/internal/tabler"
 )
@@ -17,6 +18,8 @@
 type command struct {
 	Table  *tabler.Command  `cbor:"table,omitempty"`
 	Ledger *granter.Command `cbor:"ledger,omitempty"`
+	// Order only takes a place in the log: its index is its fencing number.
+	Order *orderer.Order `cbor:"order,omitempty"`
 }
 
 // controlMachine is the state that the control group keeps: the tables and
@@ -35,7 +38,8 @@
 	Index  uint64         `cbor:"index"`
 }
 
-// Apply implements replicator.Machine. The outcome is a tabler.Result.
+// Apply implements replicator.Machine. The outcome is a tabler.Result, or an
+// orderNumber.
 func (m *controlMachine) Apply(index replicator.Index, data []byte) any {
 	var c command
 	if err := cbor.Unmarshal(data, &c); err != nil {
@@ -49,6 +53,9 @@
 		m.ledger.Apply(m.index, *c.Ledger)
 		return tabler.Result{Revision: m.state.Revision}
 	}
+	if c.Order != nil {
+		return orderNumber(index)
+	}
 	if c.Table == nil {
 		return tabler.Result{Refusal: tabler.RefusalInvalid, Detail: "empty entry"}
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -15,6 +15,7 @@
 	"github.com/boragehead/boragehead/internal/keeper"
 	"github.com/boragehead/boragehead/internal/loader"
 	"github.com/boragehead/boragehead/internal/locator"
+	"github.com/boragehead/boragehead/internal/orderer"
 	"github.com/boragehead/boragehead/internal/reporter"
 	"github.com/boragehead/boragehead/internal/tabler"
 )
@@ -106,6 +107,11 @@
 	return call[reporter.Burn](ctx, c, http.MethodGet, "/v1/burn", nil)
 }
 
+// Order gives an order to a model engine.
+func (c *Client) Order(ctx context.Context, order orderer.Order) (keeper.DeliverAnswer, error) {
+	return call[keeper.DeliverAnswer](ctx, c, http.MethodPost, "/v1/orders", order)
+}
+
 // Found makes the keepers the first members of their groups.
 func (c *Client) Found(ctx context.Context) error {
 	_, err := call[emptyAnswer](ctx, c, http.MethodPost, "/v1/keepers/found", nil)
@@ -184,6 +190,7 @@
 		codeInvalid:  tabler.ErrInvalid,
 		codeNoQuorum: keeper.ErrNoQuorum,
 		codeLost:     keeper.ErrLost,
+		codeWait:     keeper.ErrOrderWait,
 	}
 	if sentinel, known := sentinels[f.Code]; known {
 		return trace.Wrap(sentinel, f.Message)
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -13,6 +13,7 @@
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/keeper"
 	"github.com/boragehead/boragehead/internal/locator"
+	"github.com/boragehead/boragehead/internal/orderer"
 	"github.com/boragehead/boragehead/internal/reporter"
 	"github.com/boragehead/boragehead/internal/tabler"
 )
@@ -28,6 +29,7 @@
 	Remove(ctx context.Context, instance string) error
 	Status() keeper.Status
 	Burn(ctx context.Context) reporter.Burn
+	Order(ctx context.Context, order orderer.Order) (keeper.DeliverAnswer, error)
 	Found(ctx context.Context) error
 	Readmit(ctx context.Context, name string, acceptLostClaims bool) error
 }
@@ -53,6 +55,7 @@
 	mux.HandleFunc("POST /v1/instances/{name}/remove", h.remove)
 	mux.HandleFunc("GET /v1/status", h.getStatus)
 	mux.HandleFunc("GET /v1/burn", h.getBurn)
+	mux.HandleFunc("POST /v1/orders", h.order)
 	mux.HandleFunc("POST /v1/keepers/found", h.found)
 	mux.HandleFunc("POST /v1/keepers/{name}/readmit", h.readmit)
 	return operatorsOnly(mux)
@@ -164,6 +167,15 @@
 	answer(w, h.control.Burn(r.Context()), nil)
 }
 
+func (h *handler) order(w http.ResponseWriter, r *http.Request) {
+	query, ok := read[orderer.Order](w, r)
+	if !ok {
+		return
+	}
+	delivered, err := h.control.Order(r.Context(), query)
+	answer(w, delivered, err)
+}
+
 func (h *handler) found(w http.ResponseWriter, r *http.Request) {
 	answer(w, emptyAnswer{}, h.control.Found(r.Context()))
 }
@@ -222,6 +234,7 @@
 	codeExists    code = "already-exists"
 	codeNoQuorum  code = "no-quorum"
 	codeLost      code = "outcome-unknown"
+	codeWait      code = "order-wait"
 	codeOther     code = "failed"
 )
 
@@ -237,6 +250,8 @@
 		return http.StatusUnprocessableEntity, codeInvalid
 	case errors.Is(err, keeper.ErrNoQuorum), errors.Is(err, keeper.ErrNotLeader):
 		return http.StatusServiceUnavailable, codeNoQuorum
+	case errors.Is(err, keeper.ErrOrderWait):
+		return http.StatusTooManyRequests, codeWait
 	case errors.Is(err, keeper.ErrLost):
 		return http.StatusGatewayTimeout, codeLost
 	}
--- a/internal/runner/failures_test.go
+++ b/internal/runner/failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/boragehead/boragehead/internal/granter"
+	"github.com/boragehead/boragehead/internal/keeper"
+	"github.com/boragehead/boragehead/internal/orderer"
 	"github.com/boragehead/boragehead/internal/tabler"
 )
 
@@ -266,3 +269,38 @@
 	}
 	assert.Equal(t, accepted, 1)
 }
+
+// TestOrdersReachEngines gives orders through the whole path: numbers rise,
+// and a second order for the same server waits for the first.
+func TestOrdersReachEngines(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.servers["engine-n"].ChecksFencing = true
+	order := orderer.Order{FailureDomain: "north-1", Server: "engine-n", Kind: orderer.KindLoadModel, Argument: "m2"}
+	var numbers []uint64
+	for range 2 {
+		f.eventually("order delivered", func() error {
+			answer, err := f.client.Order(context.Background(), order)
+			if err == nil {
+				numbers = append(numbers, answer.Number)
+			}
+			return err
+		})
+		_, err := f.client.Order(context.Background(), order)
+		assert.ErrorIs(t, err, keeper.ErrOrderWait)
+	}
+	assert.Assert(t, numbers[1] > numbers[0], "%v", numbers)
+	assert.Equal(t, len(f.servers["engine-n"].Orders()), 2)
+	unknown := order
+	unknown.Server = "nobody"
+	f.eventually("an unknown server is named", func() error {
+		_, err := f.client.Order(context.Background(), unknown)
+		if err == nil {
+			return errors.New("the order was delivered")
+		}
+		if !strings.Contains(err.Error(), "nobody") {
+			return fmt.Errorf("another error: %w", err)
+		}
+		return nil
+	})
+}
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -138,6 +138,8 @@
 			return g.reporter.Counts(g.settings.Region), nil
 		})
 	registerLender(g.mux, lend)
+	deliver := &orders{settings: g.settings, client: g.client, dispatcher: g.dispatcher}
+	messenger.Handle(g.mux, keeper.MethodDeliver, keepers, deliver.serve)
 }
 
 // Run serves until a signal has stopped the instance gracefully.
--- a/internal/tabler/size_test.go
+++ b/internal/tabler/size_test.go
@@ -58,12 +58,11 @@
 // BenchmarkLookUp is what one request looks up.
 func BenchmarkLookUp(b *testing.B) {
 	state := stateOf(b, 11_000)
-	view := tabler.NewView(state)
 	secret := tabler.NewSecret()
 	key, err := tabler.NewKey(secret, "workspace-00001", "a")
 	assert.NilError(b, err)
 	assert.NilError(b, state.Apply(tabler.Command{Give: &key}).Err())
-	view = tabler.NewView(state)
+	view := tabler.NewView(state)
 	b.ReportAllocs()
 	for b.Loop() {
 		hash, _ := tabler.HashSecret(secret)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -193,6 +193,17 @@
 	return p.usable
 }
 
+// Announced returns what the usable servers said last, by name.
+func (t *Table) Announced(now time.Time) map[string]Announcement {
+	announced := make(map[string]Announcement, len(t.servers))
+	for name, server := range t.servers {
+		if server.Usable(now) {
+			announced[name] = server.Announcement
+		}
+	}
+	return announced
+}
+
 // Pools returns the names of all pools that a usable server serves, sorted.
 func (t *Table) Pools(now time.Time) []string {
 	names := map[string]bool{}
