--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -50,8 +50,7 @@
 			fault = &Fault{Field: "document", Text: "not a YAML document of the expected form"}
 		}
 	}()
-	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict(), yaml.DisallowUnknownField())
-	err := decoder.Decode(into)
+	err := decodeStrict(text, into)
 	if err == nil {
 		return nil
 	}
@@ -63,10 +62,21 @@
 			fault.Line = token.Position.Line
 			fault.Field = token.Value
 		}
+		return fault
+	}
+	if field, found := probe(text, into, err); found {
+		located := []Fault{{Field: field, Text: fault.Text}}
+		Locate(text, located)
+		return &located[0]
 	}
 	return fault
 }
 
+func decodeStrict(text []byte, into any) error {
+	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict(), yaml.DisallowUnknownField())
+	return decoder.Decode(into)
+}
+
 // Locate fills in the line of every fault, as far as the document has one. A
 // field is written as "pools[2].region".
 func Locate(text []byte, faults []Fault) {
--- a/internal/tabler/tables_test.go
+++ b/internal/tabler/tables_test.go
@@ -45,6 +45,7 @@
 		{name: "none"},
 		{name: "unknown field", change: [2]string{"rate: 1", "rat: 1"}, want: []string{"t:8: "}},
 		{name: "wrong type", change: [2]string{"rate: 1", "rate: much"}, want: []string{"t:8: "}},
+		{name: "wrong duration", change: [2]string{"pools: [p]}", "pools: [p], timeout: soon}"}, want: []string{"t:6: routes[0].timeout: "}},
 		{name: "not YAML", change: [2]string{"regions:", "regions: ["}, want: []string{"t:"}},
 		{name: "dangling pool", change: [2]string{"pools: [p]", "pools: [q]"}, want: []string{`t:6: routes[0].pools[0]: unknown pool "q"`}},
 		{name: "route without a pool", change: [2]string{"pools: [p]", "pools: []"}, want: []string{"t:6: routes[0].pools: a route needs at least one pool"}},
