runner: a failure domain cut off serves its callers; tests at the same time do not meet

Ruled out: the keeper itself (it passes alone; its log ends with the address in use). Change: addresses depend on the test process. Test: one failure domain of a region cut off for longer than every lease, with its callers served, bookings there refused as not run, the rest of the region going on, and a change in force everywhere within 6 s of healing.

--- a/internal/runner/failures_test.go
+++ b/internal/runner/failures_test.go
@@ -93,6 +93,36 @@
 	assert.Assert(t, time.Since(healed) < promptly, "took %s", time.Since(healed))
 }
 
+// TestIsolatedFailureDomainServesItsCallers cuts one failure domain of a
+// region, with an entry instance, an engine and a keeper, off from all others.
+// Its callers are served; bookings, whose claims need the region's keepers
+// together, are refused there as not run. The rest of the region goes on.
+func TestIsolatedFailureDomainServesItsCallers(t *testing.T) {
+	t.Parallel()
+	tables := strings.Replace(testTables, "failure-domains: [north-1]", "failure-domains: [north-1, north-2]", 1)
+	f := newFleetWith(t, tables, map[string]string{"n2": "north-2", "k2": "north-2"})
+	member, _ := f.give("members", "")
+	for _, gate := range []string{"n1", "n2"} {
+		f.eventually("member's key works at "+gate, func() error { return f.wants(gate, member, http.StatusOK, "") })
+	}
+	apart := func(p place) bool { return p.name == "n2" || p.name == "k2" }
+	f.links.sever(func(from, to place) bool { return apart(from) != apart(to) })
+	cut := time.Now()
+	for time.Since(cut) < granter.Lease+granter.Drift+2*time.Second {
+		assert.NilError(t, f.wants("n1", member, http.StatusOK, ""), "after %s", time.Since(cut))
+		assert.NilError(t, f.wants("n2", member, http.StatusOK, ""), "after %s", time.Since(cut))
+		<-time.After(100 * time.Millisecond)
+	}
+	status, body := f.ask("n2", member, "/swaps", "alone", http.Header{"Idempotency-Key": {"alone"}})
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, codeOf(body), "claims-unavailable")
+	f.links.heal()
+	healed := time.Now()
+	f.eventually("a change is in force everywhere", func() error { return f.changeInForce() })
+	assert.Assert(t, time.Since(healed) < promptly, "took %s", time.Since(healed))
+	assert.Equal(t, f.servers["booking-n"].Runs()["alone"], 0)
+}
+
 // changeInForce drains or undrains an instance and checks that every instance
 // has the new revision in force.
 func (f *testFleet) changeInForce() error {
--- a/internal/runner/fleet_test.go
+++ b/internal/runner/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -52,6 +53,8 @@
 type testFleet struct {
 	t       testing.TB
 	folder  string
+	tables  string
+	domains map[string]string
 	links   *links
 	client  *operator.Client
 	keepers []loader.Keeper
@@ -66,7 +69,14 @@
 // the entry instances n1 and n2 in the north and s1 in the south, each region
 // with an engine.
 func newFleet(t testing.TB) *testFleet {
+	return newFleetWith(t, testTables, map[string]string{})
+}
+
+// newFleetWith starts a fleet whose processes may be in other failure domains
+// than the first of their region.
+func newFleetWith(t testing.TB, tables string, domains map[string]string) *testFleet {
 	f := &testFleet{
+		tables: tables, domains: domains,
 		t: t, folder: t.TempDir(), links: newLinks(), gates: map[string]loader.Gate{}, stops: map[string]func(){},
 		servers: map[string]*imitator.Server{}, tellers: map[string]*imitator.Announcer{},
 	}
@@ -83,7 +93,7 @@
 	for _, place := range [][2]string{{"n1", "north"}, {"n2", "north"}, {"s1", "south"}} {
 		issue(place[0], certifier.RoleGate)
 		gate := loader.Gate{
-			Place:         loader.Place{Name: place[0], Region: place[1], FailureDomain: place[1] + "-1"},
+			Place:         loader.Place{Name: place[0], Region: place[1], FailureDomain: f.domainOf(place[0], place[1])},
 			CallerAddress: freePort(), BackendAddress: freePort(), PeerAddress: freePort(),
 			Keepers: f.keepers, StopLinger: loader.Duration(50 * time.Millisecond), MaxBody: 64 << 10,
 		}
@@ -101,9 +111,12 @@
 	f.client, err = operator.NewClient(loader.Client{Keepers: f.keepers, TLS: f.files("operator")})
 	assert.NilError(t, err)
 	f.found()
-	f.startServer("engine-n", "engines-north", "n1", "n2")
+	f.startServer("engine-n", "engines-north", f.together("n1", "n2")...)
 	f.startServer("engine-s", "engines-south", "s1")
-	f.startServer("booking-n", "booking-north", "n1", "n2")
+	f.startServer("booking-n", "booking-north", f.together("n1", "n2")...)
+	if f.domains["n2"] != "" {
+		f.startServer("engine-n2", "engines-north", "n2")
+	}
 	f.awaitServing()
 	return f
 }
@@ -112,11 +125,17 @@
 var lastAddress atomic.Uint32
 
 // freePort returns a port of a loopback address that nothing else uses: a port
-// of 127.0.0.1 could be taken by a connection before it is opened.
+// of 127.0.0.1 could be taken by a connection before it is opened. Test
+// processes that run at the same time have addresses of their own.
 func freePort() netip.AddrPort {
-	const port = 7000
+	const (
+		firstPort = 7000
+		addresses = 250
+	)
 	number := lastAddress.Add(1)
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 201, byte(number >> 8), byte(number)}), port)
+	process := uint32(os.Getpid())
+	address := [4]byte{127, byte(64 + process%128), byte(1 + process/128%addresses), byte(1 + number%addresses)}
+	return netip.AddrPortFrom(netip.AddrFrom4(address), uint16(firstPort+number/addresses))
 }
 
 func (f *testFleet) files(name string) loader.TLS {
@@ -149,7 +168,7 @@
 
 func (f *testFleet) startKeeper(k loader.Keeper) {
 	settings := loader.KeeperProcess{
-		Place:       loader.Place{Name: k.Name, Region: k.Region, FailureDomain: k.Region + "-1"},
+		Place:       loader.Place{Name: k.Name, Region: k.Region, FailureDomain: f.domainOf(k.Name, k.Region)},
 		PeerAddress: k.Address, OperatorAddress: k.Operator, DataFolder: filepath.Join(f.folder, "data-"+k.Name), Keepers: f.keepers,
 	}
 	credentials := f.credentials(k.Name)
@@ -166,6 +185,24 @@
 	f.launch(name, func(ctx context.Context) error { return gate.Run(ctx, credentials) })
 }
 
+// together returns the instances that are in the first one's failure domain.
+func (f *testFleet) together(first string, others ...string) []string {
+	names := []string{first}
+	for _, other := range others {
+		if f.domains[other] == f.domains[first] {
+			names = append(names, other)
+		}
+	}
+	return names
+}
+
+func (f *testFleet) domainOf(name, region string) string {
+	if domain, apart := f.domains[name]; apart {
+		return domain
+	}
+	return region + "-1"
+}
+
 // startServer starts a stand-in that announces itself to entry instances.
 func (f *testFleet) startServer(name, pool string, gates ...string) {
 	server := &imitator.Server{Name: name, Keep: true}
@@ -197,7 +234,7 @@
 func (f *testFleet) found() {
 	ctx := context.Background()
 	f.eventually("founded", func() error { return f.client.Found(ctx) })
-	tables, err := tabler.Parse("tables.yaml", []byte(testTables))
+	tables, err := tabler.Parse("tables.yaml", []byte(f.tables))
 	assert.NilError(f.t, err)
 	f.eventually("tables applied", func() error {
 		_, err := f.client.Edit(ctx, "first", 0, tables)
