replicator: the groups of a disk share its identity under a lock

The log had not been looked at, and the test failed again with addresses of its own. It could also have lost the record of a group. Ruled out: addresses (failed with its own), the folder's removal (the process had been waited for). Change: a lock. Test: TestGroupsShareAnIdentity; without the lock it failed.

--- a/internal/replicator/safety_test.go
+++ b/internal/replicator/safety_test.go
@@ -5,11 +5,14 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
+
+	"github.com/boragehead/boragehead/internal/journaler"
 )
 
 // registerInput is an operation on the register.
@@ -346,6 +349,25 @@
 	assert.Assert(t, errors.Is(err, ErrDiskLost), "got %v", err)
 }
 
+// TestGroupsShareAnIdentity records groups of one disk from many goroutines, as
+// when a readmitted keeper joins its groups at the same moment.
+func TestGroupsShareAnIdentity(t *testing.T) {
+	disk, err := journaler.OpenFolder(t.TempDir())
+	assert.NilError(t, err)
+	identity, err := OpenIdentity(disk)
+	assert.NilError(t, err)
+	const groups = 16
+	var wait sync.WaitGroup
+	for number := range groups {
+		wait.Go(func() { assert.Check(t, identity.add(fmt.Sprint("group-", number)) == nil) })
+	}
+	wait.Wait()
+	reopened, err := OpenIdentity(disk)
+	assert.NilError(t, err)
+	assert.Equal(t, reopened.Store, identity.Store)
+	assert.Equal(t, len(reopened.Groups), groups)
+}
+
 // ExampleFounding shows what the first members start from.
 func ExampleFounding() {
 	snapshot := Founding([]Member{{Name: "k1", Store: "a", Voter: true}})
--- a/internal/replicator/store.go
+++ b/internal/replicator/store.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io/fs"
 	"slices"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
@@ -19,11 +20,13 @@
 
 const identityName = "identity"
 
-// Identity names a disk's contents and the groups that it holds.
+// Identity names a disk's contents and the groups that it holds. The groups of
+// a disk share it, each from its own goroutine.
 type Identity struct {
 	Store  StoreID  `cbor:"store"`
 	Groups []string `cbor:"groups"`
 	disk   journaler.Disk
+	mu     sync.Mutex
 }
 
 // OpenIdentity reads the identity of a disk. An empty disk gets a new one.
@@ -59,6 +62,8 @@
 
 // add records that the disk holds a group.
 func (i *Identity) add(group string) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	if slices.Contains(i.Groups, group) {
 		return nil
 	}
@@ -66,6 +71,13 @@
 	return i.save()
 }
 
+// holds reports whether the disk is recorded to hold a group.
+func (i *Identity) holds(group string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.Contains(i.Groups, group)
+}
+
 // store keeps one group's part of a disk.
 type store struct {
 	identity *Identity
@@ -80,7 +92,7 @@
 		return nil, Stored{}, trace.Wrap(err)
 	}
 	s := &store{identity: identity, group: group, journal: journal}
-	if contents.Snapshot == nil && slices.Contains(identity.Groups, group) {
+	if contents.Snapshot == nil && identity.holds(group) {
 		return nil, Stored{}, trace.Wrap(ErrDiskLost, "group %s", group)
 	}
 	stored, err := replay(contents)
--- a/internal/runner/process_test.go
+++ b/internal/runner/process_test.go
@@ -76,6 +76,10 @@
 
 func (p *processes) start(name string) {
 	cmd := exec.Command(p.binary, "--settings", filepath.Join(p.folder, name+".yaml"))
+	log, err := os.OpenFile(p.log(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(p.t, err)
+	defer func() { assert.Check(p.t, log.Close() == nil) }()
+	cmd.Stderr = log
 	assert.NilError(p.t, cmd.Start())
 	p.running[name] = cmd
 }
@@ -89,7 +93,17 @@
 	_ = cmd.Wait()
 }
 
+func (p *processes) log(name string) string {
+	return filepath.Join(p.folder, name+".log")
+}
+
+// killAll ends all processes; after a failure it shows what they said last.
 func (p *processes) killAll() {
+	for _, k := range p.keepers {
+		if text, err := os.ReadFile(p.log(k.Name)); err == nil && p.t.Failed() {
+			p.t.Logf("%s:\n%s", k.Name, text[max(len(text)-4000, 0):])
+		}
+	}
 	for name := range p.running {
 		p.kill(name)
 	}
