--- a/internal/keeper/ledger.go
+++ b/internal/keeper/ledger.go
@@ -103,16 +103,7 @@
 // renews the planner with every term and proposes, so that nothing decided in
 // one leadership is proposed in another.
 func (k *Keeper) runPlanner(ctx context.Context) error {
-	ticker := time.NewTicker(planInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			k.plan(ctx)
-		}
-	}
+	return every(ctx, planInterval, k.plan)
 }
 
 func (k *Keeper) plan(ctx context.Context) {
--- a/internal/keeper/revoke.go
+++ b/internal/keeper/revoke.go
@@ -99,16 +99,7 @@
 
 // runRevoker spreads withdrawals until the log carries them.
 func (k *Keeper) runRevoker(ctx context.Context) error {
-	ticker := time.NewTicker(revokeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			k.spreadRevocations(ctx)
-		}
-	}
+	return every(ctx, revokeInterval, k.spreadRevocations)
 }
 
 func (k *Keeper) spreadRevocations(ctx context.Context) {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -7,24 +7,6 @@
 	"time"
 )
 
-// Duration is a time.Duration written as text, such as "90s".
-type Duration time.Duration
-
-// UnmarshalText reads the duration in Go's notation.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	*d = Duration(parsed)
-	return err
-}
-
-// Or returns the duration, or a default when it is not set.
-func (d Duration) Or(value time.Duration) time.Duration {
-	if d == 0 {
-		return value
-	}
-	return time.Duration(d)
-}
-
 // Place is where a process runs.
 type Place struct {
 	// Name is unique in the fleet and stands in the process's certificate.
@@ -76,10 +58,10 @@
 	Keepers        []Keeper       `yaml:"keepers" validate:"required,min=1,max=7,unique=Name,dive"`
 	Peers          []Peer         `yaml:"peers" validate:"unique=Name,dive"`
 	// StopLimit bounds a graceful shutdown; default 10m.
-	StopLimit Duration `yaml:"stop-limit" validate:"gte=0"`
+	StopLimit time.Duration `yaml:"stop-limit" validate:"gte=0"`
 	// StopLinger is how long a stopping instance serves on for callers that
 	// hold an old directory; default 11s.
-	StopLinger Duration `yaml:"stop-linger" validate:"gte=0"`
+	StopLinger time.Duration `yaml:"stop-linger" validate:"gte=0"`
 	// MaxBody bounds a request's body, in bytes; default 4 MiB.
 	MaxBody int64 `yaml:"max-body" validate:"gte=0,lte=67108864"`
 }
@@ -119,7 +101,7 @@
 	// MaxRunning is how many requests are batched at once; default 8.
 	MaxRunning int `yaml:"max-running" validate:"gte=0"`
 	// TokenInterval is the time between two tokens; default 2ms.
-	TokenInterval Duration `yaml:"token-interval" validate:"gte=0"`
+	TokenInterval time.Duration `yaml:"token-interval" validate:"gte=0"`
 	// ChecksFencing makes it refuse orders with an old fencing number.
 	ChecksFencing bool `yaml:"checks-fencing"`
 }
--- a/internal/runner/fleet_test.go
+++ b/internal/runner/fleet_test.go
@@ -95,7 +95,7 @@
 		gate := loader.Gate{
 			Place:         loader.Place{Name: place[0], Region: place[1], FailureDomain: f.domainOf(place[0], place[1])},
 			CallerAddress: freePort(), BackendAddress: freePort(), PeerAddress: freePort(),
-			Keepers: f.keepers, StopLinger: loader.Duration(50 * time.Millisecond), MaxBody: 64 << 10,
+			Keepers: f.keepers, StopLinger: 50 * time.Millisecond, MaxBody: 64 << 10,
 		}
 		f.gates[place[0]] = gate
 		f.peers = append(f.peers, loader.Peer{Name: place[0], Address: gate.PeerAddress})
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -3,6 +3,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -68,6 +69,20 @@
 	mux      *messenger.Mux
 }
 
+// ServeGate serves an entry instance until a signal has stopped it.
+func ServeGate(ctx context.Context, settings loader.Gate) error {
+	credentials, err := loadCredentials(settings.TLS)
+	if err != nil {
+		return err
+	}
+	return NewGate(settings, credentials).Run(ctx, credentials)
+}
+
+func loadCredentials(files loader.TLS) (certifier.Credentials, error) {
+	credentials, err := certifier.LoadCredentials(files.Authority, files.Certificate, files.Key)
+	return credentials, trace.Wrap(err, "tls")
+}
+
 // NewGate joins the parts of an entry instance.
 func NewGate(settings loader.Gate, credentials certifier.Credentials, options ...messenger.Option) *Gate {
 	g := &Gate{settings: settings, registry: metrics.NewRegistry(), stopping: &stopping{}}
@@ -264,13 +279,13 @@
 // leased grants back, serve on while callers still hold old directories, and
 // close when the last request has ended.
 func (g *Gate) stop(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, g.settings.StopLimit.Or(defaultStopLimit))
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(g.settings.StopLimit, defaultStopLimit))
 	defer cancel()
 	klog.InfoS("stopping", "open-requests", g.auth.Open())
 	g.stopping.begin()
 	g.fleet.announce(ctx, gossiper.StateStopping)
 	g.ledger.surrender(ctx)
-	pause(ctx, g.settings.StopLinger.Or(defaultStopLinger))
+	pause(ctx, cmp.Or(g.settings.StopLinger, defaultStopLinger))
 	for _, server := range []*http.Server{g.callers, g.relays, g.backends} {
 		if err := server.Shutdown(ctx); err != nil {
 			klog.ErrorS(err, "requests cut at the stop limit")
--- a/internal/runner/keeper.go
+++ b/internal/runner/keeper.go
@@ -20,7 +20,16 @@
 // keeperStopLimit bounds the graceful shutdown of a keeper.
 const keeperStopLimit = 10 * time.Second
 
-// RunKeeper serves a control instance until a signal has stopped it.
+// ServeKeeper serves a control instance until a signal has stopped it.
+func ServeKeeper(ctx context.Context, settings loader.KeeperProcess) error {
+	credentials, err := loadCredentials(settings.TLS)
+	if err != nil {
+		return err
+	}
+	return RunKeeper(ctx, settings, credentials)
+}
+
+// RunKeeper is ServeKeeper with credentials that are loaded already.
 func RunKeeper(ctx context.Context, settings loader.KeeperProcess, credentials certifier.Credentials, options ...messenger.Option) error {
 	disk, err := journaler.OpenFolder(settings.DataFolder)
 	if err != nil {
--- a/internal/runner/standin.go
+++ b/internal/runner/standin.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -26,14 +27,10 @@
 	if err != nil {
 		return trace.Wrap(err, "address")
 	}
-	server := &imitator.Server{Name: settings.Name, TokenInterval: settings.TokenInterval.Or(defaultTokenInterval)}
-	maxRunning := settings.MaxRunning
-	if maxRunning == 0 {
-		maxRunning = defaultMaxRunning
-	}
+	server := &imitator.Server{Name: settings.Name, TokenInterval: cmp.Or(settings.TokenInterval, defaultTokenInterval)}
 	announcer := &imitator.Announcer{
 		Server: server, Address: settings.Address, Instances: settings.Announce, Pools: settings.Pools,
-		Models: settings.Models, MaxRunning: maxRunning, ChecksFencing: settings.ChecksFencing,
+		Models: settings.Models, MaxRunning: cmp.Or(settings.MaxRunning, defaultMaxRunning), ChecksFencing: settings.ChecksFencing,
 	}
 	announcing, leave := context.WithCancel(ctx)
 	defer leave()
--- a/internal/tabler/command.go
+++ b/internal/tabler/command.go
@@ -108,22 +108,27 @@
 		return Result{Revision: s.Revision}
 	}
 	s.Revision++
-	for _, region := range edit.Put.Regions {
+	s.putTables(edit.Put)
+	for _, name := range edit.Remove {
+		s.remove(name)
+	}
+	return Result{Revision: s.Revision}
+}
+
+// putTables puts items in place at the state's revision.
+func (s *State) putTables(tables Tables) {
+	for _, region := range tables.Regions {
 		put(&s.Regions, s.Revision, region.Name, region)
 	}
-	for _, pool := range edit.Put.Pools {
+	for _, pool := range tables.Pools {
 		put(&s.Pools, s.Revision, pool.Name, pool)
 	}
-	for _, route := range edit.Put.Routes {
+	for _, route := range tables.Routes {
 		put(&s.Routes, s.Revision, route.Name, route)
 	}
-	for _, workspace := range edit.Put.Workspaces {
+	for _, workspace := range tables.Workspaces {
 		put(&s.Workspaces, s.Revision, workspace.Name, workspace)
 	}
-	for _, name := range edit.Remove {
-		s.remove(name)
-	}
-	return Result{Revision: s.Revision}
 }
 
 // checkEdit checks the tables as they would stand after the edit.
--- a/internal/tabler/delta.go
+++ b/internal/tabler/delta.go
@@ -51,7 +51,7 @@
 	if delta.Full {
 		withdrawn := s.withdrawnKeys()
 		*s = State{Forgotten: delta.To}
-		defer s.keepWithdrawn(withdrawn)
+		defer s.Revoke(withdrawn)
 	}
 	s.Revision = delta.To
 	s.putAll(delta)
@@ -62,18 +62,7 @@
 }
 
 func (s *State) putAll(delta Delta) {
-	for _, region := range delta.Put.Regions {
-		put(&s.Regions, delta.To, region.Name, region)
-	}
-	for _, pool := range delta.Put.Pools {
-		put(&s.Pools, delta.To, pool.Name, pool)
-	}
-	for _, route := range delta.Put.Routes {
-		put(&s.Routes, delta.To, route.Name, route)
-	}
-	for _, workspace := range delta.Put.Workspaces {
-		put(&s.Workspaces, delta.To, workspace.Name, workspace)
-	}
+	s.putTables(delta.Put)
 	for _, key := range delta.Keys {
 		key.Withdrawn = key.Withdrawn || s.Keys[key.ID].Value.Withdrawn
 		put(&s.Keys, delta.To, key.ID, key)
@@ -106,10 +95,6 @@
 	return ids
 }
 
-func (s *State) keepWithdrawn(ids []string) {
-	s.Revoke(ids)
-}
-
 func (s *State) removedSince(since Revision) []Name {
 	var names []Name
 	for _, removal := range slices.Backward(s.Removed) {
