--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -190,7 +191,11 @@
 	if x.Secret == "" {
 		return false
 	}
-	inURL := strings.Contains(x.Request.URL.Path, x.Secret) || strings.Contains(x.Request.URL.RawQuery, x.Secret)
+	uri := x.Request.URL.RequestURI()
+	if decoded, err := url.QueryUnescape(uri); err == nil {
+		uri += decoded
+	}
+	inURL := strings.Contains(uri, x.Secret)
 	inForwarded := strings.Contains(x.Request.Header.Get("Content-Type"), x.Secret) ||
 		strings.Contains(x.Request.Header.Get("Accept"), x.Secret)
 	return inURL || inForwarded || bytes.Contains(x.Body, []byte(x.Secret))
--- a/internal/runner/keys_test.go
+++ b/internal/runner/keys_test.go
@@ -142,6 +142,7 @@
 		{name: "no such route", gate: "n1", secret: member, path: "/nothing", status: 404, code: "route-unknown"},
 		{name: "bound work elsewhere", gate: "s1", secret: member, path: "/v1/chat/completions", status: 307, code: "home-elsewhere"},
 		{name: "key in the request", gate: "n1", secret: member, path: "/v1/chat/completions?key=" + member, status: 400, code: "key-in-request"},
+		{name: "key in the request, encoded", gate: "n1", secret: member, path: "/v1/chat/completions?key=%62" + member[1:], status: 400, code: "key-in-request"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
