Peers speak only for themselves; dead settings and code removed

Cause, from reading: a keeper and an entry instance took any name that a peer gave for itself, so that one could confirm a withdrawal for another; a price of pools was read and never used; a method nobody called. Change: the certificate's name is asked; both removed.

--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -182,7 +182,10 @@
 	return propose[claimer.Outcome](ctx, k, k.claims, claimGroupPrefix+k.settings.Region, query)
 }
 
-func (k *Keeper) serveWatch(ctx context.Context, _ certifier.Identity, query watcher.Query) (watcher.News, error) {
+func (k *Keeper) serveWatch(ctx context.Context, from certifier.Identity, query watcher.Query) (watcher.News, error) {
+	if from.Name != query.Entry.Name {
+		return watcher.News{}, trace.AccessDenied("%q may not speak for %q", from.Name, query.Entry.Name)
+	}
 	k.contact(query)
 	return watcher.Await(ctx, k, query), nil
 }
--- a/internal/replicator/leader.go
+++ b/internal/replicator/leader.go
@@ -245,11 +245,6 @@
 	m.reads = nil
 }
 
-// Leading returns the term of this store's leadership, if it leads.
-func (m *Model) Leading() (Term, bool) {
-	return m.state.Term, m.role == Leader
-}
-
 // quietFor is used by leaders to judge a member's silence.
 func (p *progress) quietFor(now time.Time) time.Duration {
 	return now.Sub(p.answered)
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/certifier"
@@ -182,7 +183,10 @@
 	}
 }
 
-func (f *fleet) serveGossip(_ context.Context, _ certifier.Identity, query gossipQuery) (gossipAnswer, error) {
+func (f *fleet) serveGossip(_ context.Context, from certifier.Identity, query gossipQuery) (gossipAnswer, error) {
+	if from.Name != query.Self.Name {
+		return gossipAnswer{}, trace.AccessDenied("%q may not speak for %q", from.Name, query.Self.Name)
+	}
 	f.take([]gossiper.Entry{query.Self}, query.Revoked)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/tabler/check.go
+++ b/internal/tabler/check.go
@@ -70,7 +70,6 @@
 		field := fmt.Sprintf("pools[%d]", i)
 		c.name(field, pool.Name, c.pools)
 		c.region(field+".region", pool.Region)
-		c.number(field+".price", pool.Price)
 	}
 }
 
--- a/internal/tabler/tables.go
+++ b/internal/tabler/tables.go
@@ -31,8 +31,6 @@
 type Pool struct {
 	Name   string `json:"name" yaml:"name"`
 	Region string `json:"region" yaml:"region"`
-	// Price weighs a token served by this pool against others; 0 means 1.
-	Price float64 `json:"price,omitempty" yaml:"price,omitempty"`
 }
 
 // Route names work that a caller may ask for and the pools that may do it,
