--- a/internal/runner/keys_test.go
+++ b/internal/runner/keys_test.go
@@ -48,7 +48,9 @@
 	assert.NilError(t, err)
 	assert.Assert(t, outcome.Accepted, "%+v", outcome)
 	for gate, stream := range streams {
+		overdue := time.AfterFunc(promptly, func() { _ = stream.Close() })
 		rest, err := io.ReadAll(stream)
+		overdue.Stop()
 		assert.Check(t, stream.Close() == nil)
 		assert.NilError(t, err)
 		assert.Assert(t, strings.Contains(string(rest), "key-withdrawn"), "%s: %s", gate, rest)
