--- a/internal/runner/fleet_test.go
+++ b/internal/runner/fleet_test.go
@@ -57,12 +57,14 @@
 	domains map[string]string
 	links   *links
 	client  *operator.Client
-	keepers []loader.Keeper
-	peers   []loader.Peer
-	gates   map[string]loader.Gate
-	stops   map[string]func()
-	servers map[string]*imitator.Server
-	tellers map[string]*imitator.Announcer
+	// authority issues more certificates.
+	authority *certifier.Authority
+	keepers   []loader.Keeper
+	peers     []loader.Peer
+	gates     map[string]loader.Gate
+	stops     map[string]func()
+	servers   map[string]*imitator.Server
+	tellers   map[string]*imitator.Announcer
 }
 
 // newFleet starts three keepers, two in the north and one in the south, and
@@ -108,6 +110,7 @@
 	for name := range f.gates {
 		f.startGate(name)
 	}
+	f.authority = authority
 	f.client, err = operator.NewClient(loader.Client{Keepers: f.keepers, TLS: f.files("operator")})
 	assert.NilError(t, err)
 	f.found()
--- a/internal/runner/keys_test.go
+++ b/internal/runner/keys_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
 )
 
 // promptly is what "within seconds" may take at most.
@@ -72,6 +73,9 @@
 	for name, server := range f.servers {
 		assert.Assert(f.t, !strings.Contains(server.Received(), secret), "%s saw the key", name)
 	}
+	klog.Flush()
+	assert.Assert(f.t, logs.contains(`"request"`), "nothing was logged")
+	assert.Assert(f.t, !logs.contains(secret), "the logs hold the key")
 	for name, gate := range f.gates {
 		response, err := http.Get("http://" + gate.CallerAddress.String() + "/v1/metrics")
 		assert.NilError(f.t, err)
