keeper, runner: from reading: a surrender counts in one leadership; starts wait from the configuration on

Cause, from reading: (1) a surrender's proposal that lay in a keeper's inbox over two changes of leader could have taken back a lease that a restarted instance had renewed since; it is proposed for one term only now. (2) An instance that waited long for its configuration did not wait for servers and grants at all; the wait counts from the configuration. (3) A bare number for the leads of a failure domain got its name.

--- a/internal/keeper/ledger.go
+++ b/internal/keeper/ledger.go
@@ -73,8 +73,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	// Only in this leadership: under a later one the instance may have
+	// started again and renewed its lease.
+	term := k.control.Status().Term
 	k.withPlanner(func(p *granter.Planner) { p.Surrender(instance) })
-	if _, err = k.control.Propose(ctx, data); err != nil {
+	if _, err = k.control.ProposeIn(ctx, term, data); err != nil {
 		return trace.Wrap(err) // the planner proposes it again
 	}
 	k.withPlanner(func(p *granter.Planner) { p.Reclaimed(instance) })
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -174,7 +174,7 @@
 	for _, k := range g.settings.Keepers {
 		actors.add("watch-"+k.Name, func(ctx context.Context) error { return g.watch.followKeeper(ctx, k) })
 	}
-	for slot := range 2 {
+	for slot := range leadsPerDomain {
 		actors.add("watch-lead", func(ctx context.Context) error { return g.watch.followLead(ctx, slot) })
 	}
 	actors.add("peers", peerServer.Run)
@@ -207,10 +207,10 @@
 // configuration, and has heard the backend servers for a whole period. Until
 // then callers use other instances.
 func (g *Gate) start(ctx context.Context, callers chan<- net.Listener) error {
-	begun := time.Now()
 	for g.follower.View().Revision == 0 && ctx.Err() == nil {
 		pause(ctx, startPause)
 	}
+	begun := time.Now()
 	for !g.supplied() && time.Since(begun) < startPatience && ctx.Err() == nil {
 		pause(ctx, startPause)
 	}
--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -20,6 +20,9 @@
 	watchTimeout = watcher.Hold + 2*time.Second
 	// watchPause is the pause after a watch that failed.
 	watchPause = 200 * time.Millisecond
+	// leadsPerDomain is how many instances of a failure domain follow the
+	// keepers for all of it.
+	leadsPerDomain = 2
 	// followedSilence is how long an instance waits for those it follows
 	// before it asks the keepers itself.
 	followedSilence = 3 * time.Second
@@ -57,7 +60,7 @@
 		}
 	}
 	ranked := granter.Rank("watch", near)
-	return ranked[:min(granter.HoldersPerDomain, len(ranked))]
+	return ranked[:min(leadsPerDomain, len(ranked))]
 }
 
 // direct reports whether this instance follows the keepers itself.
