--- a/cmd/boragehead/fleet.go
+++ b/cmd/boragehead/fleet.go
@@ -55,8 +55,7 @@
 	if err := client.Remove(ctx, name); err != nil {
 		return err
 	}
-	line(command.Root().Writer, "the grants of %s are free", name)
-	return nil
+	return showDone(command, "the grants of %s are free", name)
 }
 
 func keepersCommand() *cli.Command {
@@ -80,8 +79,7 @@
 	if err := client.Found(ctx); err != nil {
 		return err
 	}
-	line(command.Root().Writer, "founded")
-	return nil
+	return showDone(command, "founded")
 }
 
 func readmitKeeper(ctx context.Context, command *cli.Command, client *operator.Client) error {
@@ -92,8 +90,7 @@
 	if err := client.Readmit(ctx, name, command.Bool(flagAcceptLostClaims)); err != nil {
 		return err
 	}
-	line(command.Root().Writer, "%s is readmitted; it gets its vote when it has caught up", name)
-	return nil
+	return showDone(command, "%s is readmitted; it gets its vote when it has caught up", name)
 }
 
 func statusCommand() *cli.Command {
@@ -128,6 +125,15 @@
 		}
 		line(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s", i.Name, i.Region, i.FailureDomain, i.State, i.Revision, i.Silent, strings.Join(pools, "; "))
 	}
+	showServers(w, status.Servers)
+}
+
+func showServers(w io.Writer, servers []keeper.ServerStatus) {
+	line(w, "")
+	line(w, "SERVER\tFAILURE DOMAIN\tRUNNING\tMOST\tCHECKS FENCING\tPOOLS")
+	for _, s := range servers {
+		line(w, "%s\t%s\t%d\t%d\t%t\t%s", s.Name, s.FailureDomain, s.Running, s.MaxRunning, s.ChecksFencing, strings.Join(s.Pools, ", "))
+	}
 }
 
 func reportCommand() *cli.Command {
--- a/cmd/boragehead/output.go
+++ b/cmd/boragehead/output.go
@@ -89,6 +89,17 @@
 	return trace.Wrap(tabs.Flush())
 }
 
+// done is the JSON form of a command that only says that it is done.
+type done struct {
+	Done string `json:"done"`
+}
+
+// showDone tells that a command is done.
+func showDone(command *cli.Command, format string, args ...any) error {
+	text := fmt.Sprintf(format, args...)
+	return show(command, done{Done: text}, func(w io.Writer) { line(w, "%s", text) })
+}
+
 // line prints one line of a text.
 func line(w io.Writer, format string, args ...any) {
 	_, _ = fmt.Fprintf(w, format+"\n", args...)
--- a/cmd/boragehead/tables.go
+++ b/cmd/boragehead/tables.go
@@ -81,8 +81,7 @@
 	if _, err := readTables(command); err != nil {
 		return err
 	}
-	line(command.Root().Writer, "the tables are in order")
-	return nil
+	return showDone(command, "the tables are in order")
 }
 
 func diffTables(ctx context.Context, command *cli.Command, client *operator.Client) error {
--- a/internal/keeper/operate.go
+++ b/internal/keeper/operate.go
@@ -18,14 +18,20 @@
 	"github.com/boragehead/boragehead/internal/tabler"
 )
 
-// MethodBurn is the call by which keepers collect counts.
-const MethodBurn = "burn"
+// The calls by which keepers collect what entry instances know.
+const (
+	MethodBurn    = "burn"
+	MethodServers = "servers"
+)
 
 // BurnQuery asks an instance for its counts.
 type BurnQuery struct{}
 
-// burnTimeout bounds the collection of counts.
-const burnTimeout = 2 * time.Second
+// ServersQuery asks an instance for the backend servers that it uses.
+type ServersQuery struct{}
+
+// collectTimeout bounds a collection from all instances.
+const collectTimeout = 2 * time.Second
 
 // Tables returns the tables as of now, or, when stale will do, as far as this
 // keeper has heard.
@@ -111,6 +117,8 @@
 	Term      replicator.Term  `json:"term"`
 	Members   []MemberStatus   `json:"members"`
 	Instances []InstanceStatus `json:"instances"`
+	// Servers are the backend servers, by failure domain and name.
+	Servers []ServerStatus `json:"servers"`
 	// Pending are withdrawals that no quorum has accepted yet.
 	Pending []string `json:"pending-withdrawals"`
 }
@@ -128,8 +136,19 @@
 	Silent time.Duration `json:"silent"`
 }
 
+// ServerStatus is a backend server as an instance of its failure domain sees
+// it.
+type ServerStatus struct {
+	FailureDomain string   `cbor:"f" json:"failure-domain"`
+	Name          string   `cbor:"n" json:"name"`
+	Pools         []string `cbor:"p" json:"pools"`
+	Running       int      `cbor:"r" json:"running"`
+	MaxRunning    int      `cbor:"m" json:"max-running"`
+	ChecksFencing bool     `cbor:"c" json:"checks-fencing"`
+}
+
 // Status returns what this keeper sees, with or without a quorum.
-func (k *Keeper) Status() Status {
+func (k *Keeper) Status(ctx context.Context) Status {
 	control := k.control.Status()
 	leader, led := k.control.Leader()
 	status := Status{
@@ -143,9 +162,22 @@
 	for _, c := range k.recentContacts() {
 		status.Instances = append(status.Instances, InstanceStatus{Entry: c.entry, Silent: time.Since(c.heard).Round(time.Millisecond)})
 	}
+	answers, _ := collect[ServersQuery, []ServerStatus](ctx, k, MethodServers, ServersQuery{})
+	status.Servers = distinct(answers)
 	return status
 }
 
+// distinct joins what the instances of a failure domain say of its servers.
+func distinct(answers [][]ServerStatus) []ServerStatus {
+	servers := slices.Concat(answers...)
+	slices.SortStableFunc(servers, func(a, b ServerStatus) int {
+		return cmp.Or(cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Name, b.Name))
+	})
+	return slices.CompactFunc(servers, func(a, b ServerStatus) bool {
+		return a.FailureDomain == b.FailureDomain && a.Name == b.Name
+	})
+}
+
 // recentContacts returns the instances heard within the memory, by name.
 func (k *Keeper) recentContacts() []contact {
 	k.mu.Lock()
@@ -163,31 +195,36 @@
 // Burn collects the counts of all instances and reports how fast the error
 // budgets burn. Instances that do not answer are named.
 func (k *Keeper) Burn(ctx context.Context) reporter.Burn {
-	ctx, cancel := context.WithTimeout(ctx, burnTimeout)
+	counts, missing := collect[BurnQuery, reporter.Counts](ctx, k, MethodBurn, BurnQuery{})
+	var routes []tabler.Route
+	k.machine.view(func(state *tabler.State, _ *granter.Ledger, _ uint64) { routes = state.Tables().Routes })
+	return reporter.Merge(routes, counts, missing)
+}
+
+// collect asks all instances heard lately, and names those that do not answer.
+func collect[Q, A any](ctx context.Context, k *Keeper, method string, query Q) (answers []A, missing []string) {
+	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
 	contacts := k.recentContacts()
-	counts := make([]*reporter.Counts, len(contacts))
+	collected := make([]*A, len(contacts))
 	var wait sync.WaitGroup
 	for i, c := range contacts {
 		wait.Go(func() {
 			to := messenger.Endpoint{Name: c.entry.Name, Address: c.entry.Peer}
-			answer, err := messenger.Call[BurnQuery, reporter.Counts](ctx, k.client, to, MethodBurn, BurnQuery{})
+			answer, err := messenger.Call[Q, A](ctx, k.client, to, method, query)
 			if err == nil {
-				counts[i] = &answer
+				collected[i] = &answer
 			}
 		})
 	}
 	wait.Wait()
-	var known []reporter.Counts
-	missing := []string{}
+	missing = []string{}
 	for i, c := range contacts {
-		if counts[i] == nil {
+		if collected[i] == nil {
 			missing = append(missing, c.entry.Name)
 			continue
 		}
-		known = append(known, *counts[i])
+		answers = append(answers, *collected[i])
 	}
-	var routes []tabler.Route
-	k.machine.view(func(state *tabler.State, _ *granter.Ledger, _ uint64) { routes = state.Tables().Routes })
-	return reporter.Merge(routes, known, missing)
+	return answers, missing
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -27,7 +27,7 @@
 	Withdraw(ctx context.Context, changeID, id string) (keeper.WithdrawOutcome, error)
 	Drain(ctx context.Context, changeID, instance string, draining bool) (tabler.Result, error)
 	Remove(ctx context.Context, instance string) error
-	Status() keeper.Status
+	Status(ctx context.Context) keeper.Status
 	Burn(ctx context.Context) reporter.Burn
 	Order(ctx context.Context, order orderer.Order) (keeper.DeliverAnswer, error)
 	Found(ctx context.Context) error
@@ -159,8 +159,8 @@
 	answer(w, emptyAnswer{}, h.control.Remove(r.Context(), r.PathValue("name")))
 }
 
-func (h *handler) getStatus(w http.ResponseWriter, _ *http.Request) {
-	answer(w, h.control.Status(), nil)
+func (h *handler) getStatus(w http.ResponseWriter, r *http.Request) {
+	answer(w, h.control.Status(r.Context()), nil)
 }
 
 func (h *handler) getBurn(w http.ResponseWriter, r *http.Request) {
--- a/internal/runner/failures_test.go
+++ b/internal/runner/failures_test.go
@@ -320,6 +320,9 @@
 		assert.ErrorIs(t, err, keeper.ErrOrderWait)
 	}
 	assert.Assert(t, numbers[1] > numbers[0], "%v", numbers)
+	status, err := f.client.Status(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, len(status.Servers), len(f.servers), "%+v", status.Servers)
 	assert.Equal(t, len(f.servers["engine-n"].Orders()), 2)
 	unknown := order
 	unknown.Server = "nobody"
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -152,11 +152,24 @@
 		func(context.Context, certifier.Identity, keeper.BurnQuery) (reporter.Counts, error) {
 			return g.reporter.Counts(g.settings.Region), nil
 		})
+	messenger.Handle(g.mux, keeper.MethodServers, keepers, g.serveServers)
 	registerLender(g.mux, lend)
 	deliver := &orders{settings: g.settings, client: g.client, dispatcher: g.dispatcher}
 	messenger.Handle(g.mux, keeper.MethodDeliver, keepers, deliver.serve)
 }
 
+// serveServers tells keepers the backend servers of this failure domain.
+func (g *Gate) serveServers(context.Context, certifier.Identity, keeper.ServersQuery) ([]keeper.ServerStatus, error) {
+	var servers []keeper.ServerStatus
+	for _, server := range g.dispatcher.Servers() {
+		servers = append(servers, keeper.ServerStatus{
+			FailureDomain: g.settings.FailureDomain, Name: server.Name, Pools: server.Pools,
+			Running: server.Load.Running, MaxRunning: server.MaxRunning, ChecksFencing: server.ChecksFencing,
+		})
+	}
+	return servers, nil
+}
+
 // Run serves until a signal has stopped the instance gracefully.
 func (g *Gate) Run(ctx context.Context, credentials certifier.Credentials) error {
 	ports, err := g.listen()
