--- a/internal/replicator/model_test.go
+++ b/internal/replicator/model_test.go
@@ -67,3 +67,83 @@
 	m.Update(m.now, Received{Message: Message{Kind: MessageAppended, From: "b", To: "a", Term: 3, Granted: true, Match: 3}})
 	assert.Equal(t, m.commit, Index(3))
 }
+
+// leading returns a model that leads term 3 with its first entry accepted, and
+// the members given.
+func leading(t *testing.T, members []Member) *Model {
+	start := time.Unix(1000, 0)
+	stored := Stored{State: HardState{Term: 2}, Snapshot: Founding(members)}
+	m := New("a", stored, WithSeed(1), WithClock(func() time.Time { return start }))
+	m.campaign(false, false)
+	m.Update(m.now, Received{Message: Message{Kind: MessageVoted, From: "b", To: "a", Term: 3, Granted: true}})
+	m.Update(m.now, Received{Message: Message{Kind: MessageAppended, From: "b", To: "a", Term: 3, Granted: true, Match: 2, Round: m.round}})
+	assert.Equal(t, m.role, Leader)
+	assert.Equal(t, m.commit, Index(2))
+	return m
+}
+
+func answeredReads(cmds []Cmd) int {
+	count := 0
+	for _, cmd := range cmds {
+		if ready, ok := cmd.(ReadReady); ok && ready.Err == nil {
+			count++
+		}
+	}
+	return count
+}
+
+// TestReadsWaitForARound keeps a leader that is cut off, and may have been
+// replaced, from answering reads: only a quorum that answers a round begun
+// after the read confirms that it still leads.
+func TestReadsWaitForARound(t *testing.T) {
+	m := leading(t, threeMembers)
+	before := m.round
+	assert.Equal(t, answeredReads(m.Update(m.now, Read{ID: 1})), 0)
+	old := Message{Kind: MessageAppended, From: "b", To: "a", Term: 3, Granted: true, Match: 2, Round: before}
+	assert.Equal(t, answeredReads(m.Update(m.now, Received{Message: old})), 0, "confirmed by an answer from before the read")
+	fresh := old
+	fresh.Round = m.round
+	assert.Equal(t, answeredReads(m.Update(m.now, Received{Message: fresh})), 1)
+}
+
+// TestVoteComesWithTheLog gives a new member its vote only once it has synced
+// all that is accepted.
+func TestVoteComesWithTheLog(t *testing.T) {
+	m := leading(t, []Member{threeMembers[0], threeMembers[1], {Name: "c", Store: "c"}})
+	voters := func() int { return len(m.voters()) }
+	behind := Message{Kind: MessageAppended, From: "c", To: "a", Term: 3, Granted: true, Match: 1, Round: m.round}
+	m.Update(m.now, Received{Message: behind})
+	m.Update(m.now, Tick{})
+	assert.Equal(t, voters(), 2, "a vote before the log")
+	caughtUp := behind
+	caughtUp.Match = 2
+	m.Update(m.now, Received{Message: caughtUp})
+	m.Update(m.now, Tick{})
+	assert.Equal(t, voters(), 3)
+}
+
+// TestOneVoteATerm asks a store twice in a term, and again after a restart
+// from what it persisted.
+func TestOneVoteATerm(t *testing.T) {
+	ask := func(m *Model, from StoreID) (granted bool, kept HardState) {
+		cmds := m.Update(m.now, Received{Message: Message{Kind: MessageVote, From: from, To: "a", Term: 3, LogIndex: 1, LogTerm: 1}})
+		for _, cmd := range cmds {
+			if record, ok := cmd.(Persist); ok && record.State != nil {
+				kept = *record.State
+			}
+		}
+		answers := sent(cmds, MessageVoted)
+		return len(answers) == 1 && answers[0].Granted, kept
+	}
+	m := newTestModel(HardState{Term: 2})
+	granted, kept := ask(m, "b")
+	assert.Assert(t, granted)
+	assert.Equal(t, kept, HardState{Term: 3, Vote: "b"})
+	granted, _ = ask(m, "c")
+	assert.Assert(t, !granted, "two votes in a term")
+	restarted := newTestModel(kept)
+	granted, _ = ask(restarted, "c")
+	assert.Assert(t, !granted, "two votes in a term over a restart")
+	granted, _ = ask(restarted, "b")
+	assert.Assert(t, granted, "the same vote again is no second one")
+}
