--- /dev/null
+++ b/internal/apportioner/apportioner.go
@@ -0,0 +1,202 @@
+// Package apportioner keeps workspaces inside their quotas over all entry
+// instances, without a coordinator in the path of a request.
+//
+// The one idea: every instance keeps the bucket of the whole fleet and debits
+// it with its own spending at once and with that of the others as their beacons
+// tell it. What a silent instance may be spending unseen is debited as its even
+// share, and an instance that hears no one keeps to its own share, so that the
+// parts of a partitioned fleet together stay within the whole.
+package apportioner
+
+import (
+	"maps"
+	"time"
+)
+
+// Times of what the others tell.
+const (
+	// freshness is how long a beacon counts. Within it, what its sender has
+	// spent since is extrapolated; after it, the sender counts as silent.
+	freshness = 1500 * time.Millisecond
+	// memory is how long a silent instance is assumed to spend its share.
+	memory = 30 * time.Second
+	// paceWeight is the weight of the newest beacon in the average of what an
+	// instance spends a second.
+	paceWeight = 0.4
+	// defaultWait is when to come back to a bucket that does not fill.
+	defaultWait = time.Second
+)
+
+// Quota is what a workspace may spend over the whole fleet.
+type Quota struct {
+	// Rate is a second; 0 does not bound.
+	Rate  float64
+	Burst float64
+}
+
+// Apportioner holds the buckets as one instance sees them. The zero value
+// bounds nothing. It is not safe for concurrent use.
+type Apportioner struct {
+	buckets map[string]*bucket
+	peers   map[string]*peer
+	// spent is what this instance has spent since it started.
+	spent map[string]float64
+}
+
+type bucket struct {
+	Quota
+	level  float64
+	filled time.Time
+}
+
+// peer is another instance.
+type peer struct {
+	incarnation int64
+	heard       time.Time
+	spent       map[string]float64
+	pace        map[string]float64
+}
+
+// Set replaces the quotas. New buckets begin empty: what was spent before this
+// instance knew of them is unknown.
+func (a *Apportioner) Set(now time.Time, quotas map[string]Quota) {
+	if a.buckets == nil {
+		a.buckets = map[string]*bucket{}
+		a.spent = map[string]float64{}
+	}
+	a.fill(now)
+	maps.DeleteFunc(a.buckets, func(name string, _ *bucket) bool { return quotas[name].Rate <= 0 })
+	for name, quota := range quotas {
+		if quota.Rate <= 0 {
+			continue
+		}
+		b, known := a.buckets[name]
+		if !known {
+			b = &bucket{filled: now}
+			a.buckets[name] = b
+		}
+		b.Quota = quota
+		b.level = min(b.level, quota.Burst)
+	}
+}
+
+// fill refills every bucket up to now.
+func (a *Apportioner) fill(now time.Time) {
+	silent := a.silent(now)
+	share := 1 - float64(silent)/float64(len(a.peers)+1)
+	for _, b := range a.buckets {
+		if elapsed := now.Sub(b.filled); elapsed > 0 {
+			b.level = min(b.level+elapsed.Seconds()*b.Rate*share, b.Burst)
+			b.filled = now
+		}
+	}
+}
+
+// silent counts the instances whose spending is not known, and forgets those
+// that have been silent for long.
+func (a *Apportioner) silent(now time.Time) int {
+	count := 0
+	for name, p := range a.peers {
+		switch age := now.Sub(p.heard); {
+		case age > memory:
+			delete(a.peers, name)
+		case age > freshness:
+			count++
+		}
+	}
+	return count
+}
+
+// Take spends a cost, or returns when to come back. A cost above the whole
+// burst passes once the bucket is full, and leaves it in debt.
+func (a *Apportioner) Take(now time.Time, workspace string, cost float64) (wait time.Duration, ok bool) {
+	b, bounded := a.buckets[workspace]
+	if !bounded {
+		return 0, true
+	}
+	a.fill(now)
+	missing := min(cost, b.Burst) - (b.level - a.unseen(now, workspace, b.Rate))
+	if missing > 0 {
+		return waitFor(missing, b.Rate), false
+	}
+	b.level -= cost
+	a.spent[workspace] += cost
+	return 0, true
+}
+
+func waitFor(missing, rate float64) time.Duration {
+	if rate <= 0 {
+		return defaultWait
+	}
+	return time.Duration(missing / rate * float64(time.Second))
+}
+
+// unseen estimates what the others have spent since their last beacons.
+func (a *Apportioner) unseen(now time.Time, workspace string, rate float64) float64 {
+	total := 0.0
+	for _, p := range a.peers {
+		age := now.Sub(p.heard)
+		if age <= freshness {
+			total += min(p.pace[workspace], rate) * age.Seconds()
+		}
+	}
+	return total
+}
+
+// Refund gives back the cost of a request that did not run.
+func (a *Apportioner) Refund(workspace string, cost float64) {
+	b, bounded := a.buckets[workspace]
+	if !bounded {
+		return
+	}
+	b.level = min(b.level+cost, b.Burst)
+	a.spent[workspace] -= cost
+}
+
+// Spent returns what this instance has spent since it started.
+func (a *Apportioner) Spent() map[string]float64 {
+	return maps.Clone(a.spent)
+}
+
+// Hear takes in what another instance has spent since it started. The first
+// word of an incarnation sets the point from which it is counted.
+func (a *Apportioner) Hear(now time.Time, name string, incarnation int64, spent map[string]float64) {
+	if a.peers == nil {
+		a.peers = map[string]*peer{}
+	}
+	a.fill(now)
+	p, known := a.peers[name]
+	if known && incarnation < p.incarnation {
+		return
+	}
+	if !known || incarnation > p.incarnation {
+		a.peers[name] = &peer{incarnation: incarnation, heard: now, spent: maps.Clone(spent), pace: map[string]float64{}}
+		return
+	}
+	elapsed := now.Sub(p.heard).Seconds()
+	for workspace, total := range spent {
+		a.debit(p, workspace, total-p.spent[workspace], elapsed)
+	}
+	p.spent, p.heard = maps.Clone(spent), now
+}
+
+func (a *Apportioner) debit(p *peer, workspace string, amount, elapsed float64) {
+	if elapsed > 0 {
+		p.pace[workspace] += paceWeight * (max(amount, 0)/elapsed - p.pace[workspace])
+	}
+	b, bounded := a.buckets[workspace]
+	if !bounded {
+		return
+	}
+	if elapsed > freshness.Seconds() {
+		// Its even share was debited while it was silent.
+		covered := b.Rate / float64(len(a.peers)+1) * (elapsed - freshness.Seconds())
+		amount = max(amount-covered, 0)
+	}
+	b.level = min(b.level-amount, b.Burst)
+}
+
+// Forget drops an instance that has ended in order: it spends nothing more.
+func (a *Apportioner) Forget(name string) {
+	delete(a.peers, name)
+}
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -75,6 +75,18 @@
 
 // Daemon returns the command of a process that runs with a settings file.
 func Daemon[T any](name, usage string, run func(ctx context.Context, settings T) error) *cli.Command {
+	return daemon(name, usage, func(ctx context.Context, _ string, settings T) error { return run(ctx, settings) })
+}
+
+// DaemonAt is Daemon for a process that reads its settings file again while it
+// runs, and that speaks a given dialect.
+func DaemonAt[T, D any](name, usage string, run func(ctx context.Context, path string, settings T, dialect D) error, dialect D) *cli.Command {
+	return daemon(name, usage, func(ctx context.Context, path string, settings T) error {
+		return run(ctx, path, settings, dialect)
+	})
+}
+
+func daemon[T any](name, usage string, run func(ctx context.Context, path string, settings T) error) *cli.Command {
 	return &cli.Command{
 		Name:  name,
 		Usage: usage,
@@ -95,7 +107,7 @@
 			if err := SetVerbosity(command.Int(flagVerbosity)); err != nil {
 				return err
 			}
-			return run(ctx, settings)
+			return run(ctx, command.String(flagSettings), settings)
 		},
 	}
 }
--- a/internal/runner/actors.go
+++ b/internal/conductor/conductor.go
@@ -1,4 +1,6 @@
-package runner
+// Package conductor runs the duties of a process, each in a goroutine of its
+// own, and ends them together.
+package conductor
 
 import (
 	"context"
@@ -8,7 +10,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"sync/atomic"
 	"syscall"
 
 	"github.com/gravitational/trace"
@@ -16,18 +17,14 @@
 	"k8s.io/klog/v2"
 )
 
-// actors are the duties of a process, each in a goroutine of its own. When
-// one ends, all are ended.
-type actors struct {
+// Actors are the duties of a process. When one ends, all are ended. The zero
+// value has none.
+type Actors struct {
 	group run.Group
 }
 
-func newActors() *actors {
-	return &actors{}
-}
-
-// add adds a duty that ends with its context.
-func (a *actors) add(name string, duty func(ctx context.Context) error) {
+// Add adds a duty that ends with its context.
+func (a *Actors) Add(name string, duty func(ctx context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	a.group.Add(func() error {
 		err := duty(ctx)
@@ -38,15 +35,15 @@
 	}, func(error) { cancel() })
 }
 
-// serve adds an HTTP server on a listener.
-func (a *actors) serve(name string, server *http.Server, listener net.Listener) {
+// Serve adds an HTTP server on a listener.
+func (a *Actors) Serve(name string, server *http.Server, listener net.Listener) {
 	opened := make(chan net.Listener, 1)
 	opened <- listener
-	a.serveLater(name, server, opened)
+	a.ServeLater(name, server, opened)
 }
 
-// serveLater adds an HTTP server on a listener that is opened later.
-func (a *actors) serveLater(name string, server *http.Server, opened <-chan net.Listener) {
+// ServeLater adds an HTTP server on a listener that is opened later.
+func (a *Actors) ServeLater(name string, server *http.Server, opened <-chan net.Listener) {
 	closed := make(chan struct{})
 	a.group.Add(func() error {
 		select {
@@ -66,15 +63,15 @@
 	})
 }
 
-// serveTLS adds an HTTPS server on a listener, with the server's own TLS
+// ServeTLS adds an HTTPS server on a listener, with the server's own TLS
 // configuration.
-func (a *actors) serveTLS(name string, server *http.Server, listener net.Listener) {
-	a.serve(name, server, tls.NewListener(listener, server.TLSConfig))
+func (a *Actors) ServeTLS(name string, server *http.Server, listener net.Listener) {
+	a.Serve(name, server, tls.NewListener(listener, server.TLSConfig))
 }
 
-// run runs the duties until a signal or the context asks for a stop, and the
+// Run runs the duties until a signal or the context asks for a stop, and the
 // stop is done. A second signal ends the process at once.
-func (a *actors) run(ctx context.Context, stop func(ctx context.Context)) error {
+func (a *Actors) Run(ctx context.Context, stop func(ctx context.Context)) error {
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	ended := make(chan struct{})
 	a.group.Add(func() error {
@@ -95,21 +92,3 @@
 	})
 	return a.group.Run()
 }
-
-// stopping asks callers to close their connections once a stop has begun.
-type stopping struct {
-	begun atomic.Bool
-}
-
-func (s *stopping) begin() {
-	s.begun.Store(true)
-}
-
-func (s *stopping) wrap(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.begun.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
-	})
-}
--- /dev/null
+++ b/internal/follower/watch.go
@@ -0,0 +1,173 @@
+package follower
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/boragehead/boragehead/internal/controller"
+	"github.com/boragehead/boragehead/internal/logger"
+	"github.com/boragehead/boragehead/internal/messenger"
+	"github.com/boragehead/boragehead/internal/registrar"
+)
+
+// Times of following.
+const (
+	// watchTimeout bounds one watch: the time that it is held and a round trip
+	// between regions.
+	watchTimeout = 1700 * time.Millisecond
+	// watchPause is the pause after a watch that failed.
+	watchPause = 150 * time.Millisecond
+	// reviewInterval is the time between two looks at whom to follow and which
+	// servers have fallen silent.
+	reviewInterval = 200 * time.Millisecond
+	// sourceMemory is how long a control instance that is no longer named and
+	// not heard is followed on.
+	sourceMemory = 30 * time.Second
+)
+
+// Run follows the control instances until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	ticker := time.NewTicker(reviewInterval)
+	defer ticker.Stop()
+	for {
+		f.review(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// review starts and ends watches.
+func (f *Follower) review(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, address := range f.controls {
+		if _, known := f.sources[address]; !known {
+			f.follow(ctx, now, address)
+		}
+	}
+	for address, s := range f.sources {
+		if !slices.Contains(f.controls, address) && now.Sub(s.heard) > sourceMemory {
+			s.cancel()
+			delete(f.sources, address)
+		}
+	}
+	f.learn(now)
+	f.settle()
+}
+
+func (f *Follower) follow(ctx context.Context, now time.Time, address string) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		klog.ErrorS(err, "control instance's address not understood", "address", address)
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s := &source{cancel: cancel, heard: now.Add(-sourceContact), said: map[string]registrar.Server{}}
+	f.sources[address] = s
+	go f.watch(ctx, messenger.Endpoint{Name: address, Address: parsed}, s)
+}
+
+// watch follows one control instance until the context ends.
+func (f *Follower) watch(ctx context.Context, to messenger.Endpoint, s *source) {
+	reached := false
+	for ctx.Err() == nil {
+		err := f.ask(ctx, to, s)
+		if (err == nil) != reached && ctx.Err() == nil {
+			reached = err == nil
+			klog.InfoS("control instance", "address", to.Name, "reached", reached, "err", logger.Reason(err))
+		}
+		if err == nil {
+			continue
+		}
+		f.client.Reset(to)
+		select {
+		case <-time.After(watchPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, to messenger.Endpoint, s *source) error {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	f.mu.Lock()
+	query := controller.WatchQuery{
+		Epoch: s.epoch, Index: f.index, Version: uint64(f.version),
+		Servers: s.servers, Places: s.places, Region: f.settings.Region, Name: f.settings.Name,
+	}
+	f.mu.Unlock()
+	news, err := messenger.Call[controller.WatchQuery, controller.News](ctx, f.client, to, controller.MethodWatch, query)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	s.heard = now
+	f.takeServers(now, s, news)
+	if news.Instances != nil || news.Controls != nil {
+		f.takePlaces(now, news)
+	}
+	if news.State != nil {
+		if err := f.take(to.Name, *news.State); err != nil {
+			klog.ErrorS(err, "state not understood: the one in force stays", "index", news.State.Index)
+		}
+	}
+	f.supplied = true
+	f.settle()
+	return nil
+}
+
+// takeServers takes in what one control instance says of the servers.
+func (f *Follower) takeServers(now time.Time, s *source, news controller.News) {
+	if news.Epoch != s.epoch {
+		s.epoch = news.Epoch
+		s.said = map[string]registrar.Server{}
+	}
+	s.servers, s.places = news.ServersRevision, news.PlacesRevision
+	for _, said := range news.Servers {
+		if known, exists := s.said[said.Name]; !exists || !known.Newer(said) {
+			s.said[said.Name] = said
+		}
+	}
+	if len(news.Servers) > 0 {
+		f.learn(now)
+	}
+}
+
+// takePlaces takes in where the other processes are.
+func (f *Follower) takePlaces(now time.Time, news controller.News) {
+	for _, address := range news.Controls {
+		if !slices.Contains(f.controls, address) {
+			f.controls = append(f.controls, address)
+		}
+	}
+	for _, other := range news.Instances {
+		if other.Name == f.self.Name {
+			continue
+		}
+		known, exists := f.instances[other.Name]
+		if !exists || other.Incarnation > known.Incarnation {
+			f.instances[other.Name] = instance{Instance: other, heard: now}
+		}
+	}
+}
+
+// Reseed adds control instances to ask.
+func (f *Follower) Reseed(seeds []netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, seed := range seeds {
+		if !slices.Contains(f.controls, seed.String()) {
+			f.controls = append(f.controls, seed.String())
+		}
+	}
+}
--- /dev/null
+++ b/internal/forwarder/attempt.go
@@ -0,0 +1,140 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/boragehead/boragehead/internal/placer"
+)
+
+// mostTries bounds the places that one call is offered to, those that declined
+// included.
+const mostTries = 4
+
+// verdict is what became of one attempt.
+type verdict uint8
+
+const (
+	// answered: the caller has an answer.
+	answered verdict = iota
+	// declined: the request did not run there.
+	declined
+	// lost: the request may have run, and nothing has reached the caller.
+	lost
+	// failed: the server answered with a failure after it ran the request.
+	failed
+	// broken: a part of a stream has reached the caller.
+	broken
+)
+
+// attempt makes attempts until the caller has an answer or none may follow.
+func (f *Forwarder) attempt(ctx context.Context, w http.ResponseWriter, call *Call) *Refusal {
+	f.retries.earn(call.Service.Name)
+	out := &output{writer: w, call: call, forwarder: f, lastEvent: call.LastEvent}
+	request := f.placement(call)
+	ran := 0
+	for try := 0; ; try++ {
+		if try > 0 && !f.mayRepeat(call, try, ran) {
+			return f.giveUp(ctx, out, ran)
+		}
+		request.ID = f.nextID.Add(1)
+		request.Started = out.started
+		decision := f.fleet.Place(request)
+		if decision.Refused != "" {
+			return f.unplaced(ctx, out, decision, ran)
+		}
+		call.trail.note = ""
+		result := f.offer(ctx, out, request.ID, decision)
+		switch result {
+		case answered:
+			return nil
+		case declined:
+		default:
+			ran++
+		}
+		if ctx.Err() != nil || result != declined && !call.Route.Repeatable() {
+			return f.giveUp(ctx, out, ran)
+		}
+		if decision.Server != nil {
+			request.Tried = append(request.Tried, decision.Server.Name)
+		} else {
+			request.TriedRegions = append(request.TriedRegions, decision.Region)
+		}
+	}
+}
+
+// offer makes one attempt at the place that was decided on.
+func (f *Forwarder) offer(ctx context.Context, out *output, id uint64, decision placer.Decision) verdict {
+	trail := &out.call.trail
+	trail.attempts++
+	trail.wait, trail.cached, trail.usable = decision.Wait, decision.Cached, decision.Servers
+	if decision.Region != "" {
+		trail.region, trail.server = decision.Region, ""
+		return f.relay(ctx, out, decision.Region)
+	}
+	trail.server = decision.Server.Name
+	return f.send(ctx, out, id, *decision.Server)
+}
+
+func (f *Forwarder) placement(call *Call) placer.Request {
+	objective := call.Deadline
+	if call.Route.Objective > 0 {
+		objective = call.Arrived.Add(call.Route.Objective)
+	}
+	return placer.Request{
+		Service: call.Service, Work: call.Work, Objective: objective, Deadline: call.Deadline,
+		Homes: call.Homes, Bound: call.Bound, Local: call.Relayed,
+	}
+}
+
+// mayRepeat reports whether one more attempt is allowed: by the route, if the
+// request has run, and by the budget of the service.
+func (f *Forwarder) mayRepeat(call *Call, try, ran int) bool {
+	if try >= mostTries || ran >= max(call.Route.Attempts, 1) {
+		return false
+	}
+	if !f.retries.spend(call.Service.Name) {
+		f.counters.Count("retries-without-budget")
+		return false
+	}
+	f.counters.Count("retries")
+	return true
+}
+
+// unplaced ends a call for which no place was found.
+func (f *Forwarder) unplaced(ctx context.Context, out *output, decision placer.Decision, ran int) *Refusal {
+	out.call.trail.usable = decision.Servers
+	out.call.trail.wait = decision.Wait
+	if ran > 0 || out.started {
+		return f.giveUp(ctx, out, ran)
+	}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: string(decision.Refused), RetryAfter: decision.Wait}
+}
+
+// declinedRetry is when to come back after all servers that were asked declined.
+const declinedRetry = 200 * time.Millisecond
+
+// giveUp ends a call that gets no more attempts.
+func (f *Forwarder) giveUp(ctx context.Context, out *output, ran int) *Refusal {
+	switch {
+	case out.started:
+		// The status and a part of the body are out: only breaking the
+		// connection tells the caller that the rest is missing.
+		out.abort()
+		return nil
+	case out.kept != nil:
+		return out.passKept()
+	case errors.Is(ctx.Err(), context.Canceled):
+		return &Refusal{Status: statusCallerGone, Reason: "caller-gone", Ran: ran > 0}
+	case ctx.Err() != nil && ran > 0:
+		return &Refusal{Status: http.StatusGatewayTimeout, Reason: "deadline", Ran: true}
+	case ran > 0:
+		return &Refusal{Status: http.StatusBadGateway, Reason: "no-answer", Ran: true}
+	}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "declined", RetryAfter: declinedRetry}
+}
+
+// statusCallerGone stands in the log for a caller that left; nobody reads it.
+const statusCallerGone = 499
--- a/internal/journaler/disk.go
+++ b/internal/journaler/disk.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -51,7 +52,13 @@
 	return os.ReadFile(filepath.Join(f.Path, name))
 }
 
-// Replace implements Disk by write, sync, rename and sync of the folder.
+// syncPause is the pause before a folder that could not be synced is synced
+// again.
+const syncPause = 100 * time.Millisecond
+
+// Replace implements Disk by write, sync, rename and sync of the folder. Once
+// the rename is made there is no way back: the sync of the folder is repeated
+// until it succeeds, or a crash could still bring the old file back.
 func (f Folder) Replace(name string, data []byte) error {
 	path := filepath.Join(f.Path, name)
 	temporary := path + ".new"
@@ -61,7 +68,10 @@
 	if err := os.Rename(temporary, path); err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	return f.sync()
+	for f.sync() != nil {
+		time.Sleep(syncPause)
+	}
+	return nil
 }
 
 // Append implements Disk.
@@ -111,3 +121,17 @@
 	}
 	return trace.NewAggregate(file.Sync(), file.Close())
 }
+
+// Clear removes all files of the folder.
+func (f Folder) Clear() error {
+	entries, err := os.ReadDir(f.Path)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	for _, entry := range entries {
+		if err := os.Remove(filepath.Join(f.Path, entry.Name())); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+	}
+	return f.sync()
+}
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -74,8 +74,8 @@
 	return journal, contents, nil
 }
 
-// Append writes a batch and syncs it. After an error the journal must not be
-// used again: the disk's state is unknown.
+// Append writes a batch and syncs it. After an error the end of the log is
+// unknown: call Repair before anything else.
 func (j *Journal) Append(batch []byte) error {
 	if len(batch) > maxBatchSize {
 		return trace.BadParameter("a batch of %d bytes is too large", len(batch))
@@ -95,6 +95,18 @@
 	return nil
 }
 
+// Repair cuts off what a failed Append may have left, so that the same batch
+// can be written again, as after a full disk has room again.
+func (j *Journal) Repair() error {
+	file, err := j.disk.Append(j.logName(), j.size)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	old := j.file
+	j.file = file
+	return trace.Wrap(old.Close())
+}
+
 // Compact replaces all that the journal holds by a snapshot and one batch.
 // A crash leaves either the old contents or the new ones.
 func (j *Journal) Compact(snapshot, batch []byte) error {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -84,6 +84,66 @@
 	Keepers         []Keeper       `yaml:"keepers" validate:"required,min=1,max=7,unique=Name,dive"`
 }
 
+// Entry is the settings file of boragehead-entry.
+type Entry struct {
+	Place `yaml:",inline"`
+	// CallerAddress serves callers, and ReadyAddress tells whether the instance
+	// takes them.
+	CallerAddress netip.AddrPort `yaml:"caller-address" validate:"required"`
+	ReadyAddress  netip.AddrPort `yaml:"ready-address" validate:"required"`
+	Fleet         `yaml:",inline"`
+}
+
+// Control is the settings file of boragehead-control.
+type Control struct {
+	Place `yaml:",inline"`
+	// OperatorAddress serves operators and hears backend servers;
+	// DirectoryAddress tells callers where to connect.
+	OperatorAddress  netip.AddrPort `yaml:"operator-address" validate:"required"`
+	DirectoryAddress netip.AddrPort `yaml:"directory-address" validate:"required"`
+	DataFolder       string         `yaml:"data-folder" validate:"required"`
+	// Bootstrap lets the first instances found the fleet, on empty disks.
+	Bootstrap bool `yaml:"bootstrap"`
+	// DiskLosses is how many disks may be lost at once; twice that and one
+	// hold the state.
+	DiskLosses int `yaml:"disk-losses" validate:"gte=0,lte=3"`
+	Fleet      `yaml:",inline"`
+}
+
+// Fleet is how a process finds the others and what it may use.
+type Fleet struct {
+	// PeerAddress is where the other processes reach this one. The port is the
+	// same on all, and the two after it serve relays and metrics.
+	PeerAddress netip.AddrPort `yaml:"peer-address" validate:"required"`
+	// Seeds are control instances to ask first. Their ports are ignored.
+	Seeds []netip.AddrPort `yaml:"seeds" validate:"required,min=1"`
+	// FailureDomains maps all failure domains of the fleet to their regions.
+	FailureDomains map[string]string `yaml:"failure-domains" validate:"required,min=1"`
+	// MemoryMB is what the process may use, in MB; 0 does not bound it.
+	MemoryMB int64 `yaml:"memory-mb" validate:"gte=0"`
+	// StopLimit bounds a graceful shutdown; default 8s.
+	StopLimit time.Duration `yaml:"stop-limit" validate:"gte=0"`
+}
+
+// RelayAddress serves requests that other instances pass on.
+func (f Fleet) RelayAddress() netip.AddrPort {
+	return netip.AddrPortFrom(f.PeerAddress.Addr(), f.PeerAddress.Port()+1)
+}
+
+// MetricsAddress serves counters and histograms as text.
+func (f Fleet) MetricsAddress() netip.AddrPort {
+	return netip.AddrPortFrom(f.PeerAddress.Addr(), f.PeerAddress.Port()+2)
+}
+
+// SeedPeers returns where the seeds are reached by other processes.
+func (f Fleet) SeedPeers() []netip.AddrPort {
+	peers := make([]netip.AddrPort, 0, len(f.Seeds))
+	for _, seed := range f.Seeds {
+		peers = append(peers, netip.AddrPortFrom(seed.Addr(), f.PeerAddress.Port()))
+	}
+	return peers
+}
+
 // Client is the settings file of the operators' client.
 type Client struct {
 	TLS     TLS      `yaml:"tls"`
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -35,7 +35,10 @@
 // Client calls other processes, over one connection for each.
 type Client struct {
 	credentials certifier.Credentials
-	dialRaw     Dial
+	// plain, unless nil, is what this process says of itself on links without
+	// TLS.
+	plain   *certifier.Identity
+	dialRaw Dial
 
 	mu    sync.Mutex
 	conns map[Endpoint]*rpc.Client
@@ -52,13 +55,21 @@
 // NewClient returns a client with a process's credentials.
 func NewClient(credentials certifier.Credentials, options ...Option) *Client {
 	c := &Client{credentials: credentials, conns: map[Endpoint]*rpc.Client{}}
-	c.dialRaw = (&net.Dialer{}).DialContext
+	c.dialRaw = newDialer().DialContext
 	for _, option := range options {
 		option(c)
 	}
 	return c
 }
 
+// NewPlainClient returns a client for links without TLS. The other side takes
+// the identity as said: use it only where the network itself is trusted.
+func NewPlainClient(identity certifier.Identity, options ...Option) *Client {
+	c := NewClient(certifier.Credentials{}, options...)
+	c.plain = &identity
+	return c
+}
+
 // Call performs one call. Errors of the other side keep their sentinel.
 func Call[Q, A any](ctx context.Context, client *Client, to Endpoint, method string, query Q) (A, error) {
 	var answer A
@@ -172,6 +183,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.plain != nil {
+		return greet(ctx, raw, *c.plain)
+	}
 	conn := tls.Client(raw, c.credentials.Client(to.Name, protocol))
 	if err := conn.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -72,9 +72,10 @@
 // Server accepts connections on the peer port.
 type Server struct {
 	listener net.Listener
-	config   *tls.Config
-	mux      *Mux
-	streams  *streamListener
+	// config is nil on links without TLS.
+	config  *tls.Config
+	mux     *Mux
+	streams *streamListener
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -92,6 +93,17 @@
 	}
 }
 
+// NewPlainServer serves a mux on a listener without TLS. Every caller is
+// believed to be who it says it is.
+func NewPlainServer(listener net.Listener, mux *Mux) *Server {
+	return &Server{
+		listener: listener,
+		mux:      mux,
+		streams:  newStreamListener(listener.Addr()),
+		conns:    map[net.Conn]struct{}{},
+	}
+}
+
 // Streams returns the listener for net/http.
 func (s *Server) Streams() net.Listener {
 	return s.streams
@@ -126,6 +138,10 @@
 }
 
 func (s *Server) serve(ctx context.Context, raw net.Conn) {
+	if s.config == nil {
+		s.servePlain(ctx, raw)
+		return
+	}
 	conn := tls.Server(raw, s.config)
 	handshake, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	err := conn.HandshakeContext(handshake)
@@ -146,6 +162,15 @@
 	s.serveRPC(ctx, conn, identity)
 }
 
+func (s *Server) servePlain(ctx context.Context, raw net.Conn) {
+	identity, err := meet(raw)
+	if err != nil {
+		_ = raw.Close()
+		return
+	}
+	s.serveRPC(ctx, raw, identity)
+}
+
 func (s *Server) serveRPC(ctx context.Context, conn net.Conn, identity certifier.Identity) {
 	s.mu.Lock()
 	s.conns[conn] = struct{}{}
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,397 @@
+// Package placer decides where a request runs: at a backend server of this
+// region, in another region, or nowhere for now.
+//
+// The one idea: every candidate gets a predicted time to the first event, from
+// the prompts it has yet to read, the batch it runs, and what of this prompt its
+// cache saves; the earliest goes. A request whose earliest prediction misses its
+// objective by too much is refused at once, with the time after which it would
+// be met. The model owns no goroutine, socket or clock.
+package placer
+
+import (
+	"time"
+
+	"github.com/boragehead/boragehead/internal/definer"
+	"github.com/boragehead/boragehead/internal/registrar"
+)
+
+// Work is what a request asks of an engine.
+type Work struct {
+	Model string
+	// Prompt and Output are in tokens; Output is the most that may come.
+	Prompt int64
+	Output int64
+	// Parts make up the prompt, in order. Requests share parts; the last one
+	// belongs to the request itself or to its session.
+	Parts []Part
+}
+
+// Part is a piece of a prompt that engines keep in their caches.
+type Part struct {
+	ID     uint64
+	Tokens int64
+}
+
+// Cost is what the work counts against a quota, in tokens.
+func (w Work) Cost() float64 {
+	return float64(w.Prompt + w.Output)
+}
+
+// Request is what a placement depends on.
+type Request struct {
+	ID      uint64
+	Service *definer.Service
+	Work    Work
+	// Objective is when the first event is due, and Deadline when all is over.
+	Objective time.Time
+	Deadline  time.Time
+	// Homes are the regions allowed, if Bound.
+	Homes []string
+	Bound bool
+	// Local restricts the placement to this region, as for relayed requests.
+	Local bool
+	// Tried are servers that must not be chosen again, and TriedRegions the
+	// regions.
+	Tried        []string
+	TriedRegions []string
+	// Started requests resume a stream: they are placed while any server can.
+	Started bool
+}
+
+// Reason tells why a request was refused.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonNoServer means that no usable server is known.
+	ReasonNoServer Reason = "no-server"
+	// ReasonOverloaded means that the objective would be missed by too much.
+	ReasonOverloaded Reason = "overloaded"
+)
+
+// Decision is where a request goes. Exactly one of Server, Region and Refused
+// is set.
+type Decision struct {
+	Server  *registrar.Server
+	Region  string
+	Refused Reason
+	// Wait is the predicted time to the first event; of a refusal, when to
+	// come back.
+	Wait time.Duration
+	// Cached is how much of the prompt the server is expected to keep, in
+	// tokens.
+	Cached int64
+	// Servers is how many servers were usable.
+	Servers int
+}
+
+// Summary is what other regions learn of a service here.
+type Summary struct {
+	// Servers is how many servers are usable.
+	Servers int `cbor:"s"`
+	// Wait is the shortest predicted time to a first event, without the
+	// reading of the request's own prompt.
+	Wait time.Duration `cbor:"w"`
+}
+
+// Load is the work that one instance has at a server.
+type Load struct {
+	Running int32 `cbor:"r"`
+	// Prefill is what is still to be read, in tokens.
+	Prefill int64 `cbor:"p"`
+	// Memory is what running requests hold, in tokens.
+	Memory int64 `cbor:"m"`
+}
+
+func (l *Load) add(other Load) {
+	l.Running += other.Running
+	l.Prefill += other.Prefill
+	l.Memory += other.Memory
+}
+
+func (l *Load) subtract(other Load) {
+	l.Running -= other.Running
+	l.Prefill -= other.Prefill
+	l.Memory -= other.Memory
+}
+
+// Placer decides for one entry instance. It is not safe for concurrent use.
+type Placer struct {
+	// Self and Region name this instance and where it is.
+	Self   string
+	Region string
+
+	servers  map[string]*server
+	running  map[uint64]*run
+	peers    map[string]peer
+	regions  map[string]map[string]remote
+	closed   map[string]bool
+	reopened map[string]time.Time
+}
+
+// run is a request that a server works on.
+type run struct {
+	server  string
+	load    Load
+	started time.Time
+	wait    time.Duration
+	began   bool
+}
+
+// peer is another instance of this region.
+type peer struct {
+	heard time.Time
+	loads map[string]Load
+}
+
+// remote is what is known of a service in another region.
+type remote struct {
+	Summary
+	heard time.Time
+}
+
+// Times of what other instances tell.
+const (
+	// peerFreshness is how long the loads of another instance count.
+	peerFreshness = 2 * time.Second
+	// remoteFreshness is how long a region's summary counts.
+	remoteFreshness = 3 * time.Second
+)
+
+// Place decides on a request. A placement at a server must be ended by Done.
+func (p *Placer) Place(now time.Time, request Request) Decision {
+	local := p.bestLocal(now, request)
+	away, found := p.bestRemote(now, request)
+	switch {
+	case local.server == nil && !found:
+		return Decision{Refused: ReasonNoServer, Wait: noServerWait}
+	case local.server == nil:
+		return p.remoteOrRefuse(now, request, away)
+	case found && p.worthLeaving(request, now, local, away):
+		return p.remoteOrRefuse(now, request, away)
+	}
+	if late := p.late(now, request, local.wait); late > 0 {
+		return Decision{Refused: ReasonOverloaded, Wait: late, Servers: local.servers}
+	}
+	return p.assign(now, request, local)
+}
+
+func (p *Placer) remoteOrRefuse(now time.Time, request Request, away candidate) Decision {
+	if late := p.late(now, request, away.wait); late > 0 {
+		return Decision{Refused: ReasonOverloaded, Wait: late}
+	}
+	return Decision{Region: away.region, Wait: away.wait}
+}
+
+// worthLeaving reports whether another region serves a request so much sooner
+// that the network path and a colder cache are worth it. Requests that are in
+// time here stay.
+func (p *Placer) worthLeaving(request Request, now time.Time, local, away candidate) bool {
+	spare := request.Objective.Sub(now)
+	if local.wait <= time.Duration(float64(spare)*stayShare) {
+		return false
+	}
+	return away.wait+leaveMargin < local.wait
+}
+
+// late returns by how much a request would miss what is worth waiting for.
+func (p *Placer) late(now time.Time, request Request, wait time.Duration) time.Duration {
+	if request.Started {
+		return 0
+	}
+	spare := request.Objective.Sub(now)
+	most := min(time.Duration(float64(spare)*patience), request.Deadline.Sub(now))
+	if wait <= most {
+		return 0
+	}
+	return max(wait-most, shortestRetry)
+}
+
+// What a placement weighs.
+const (
+	// stayShare is the part of the time to the objective that a local wait may
+	// take before other regions are considered.
+	stayShare = 0.5
+	// leaveMargin is what another region must gain over this one.
+	leaveMargin = 100 * time.Millisecond
+	// patience is how far past the objective a prediction may lie, as a factor:
+	// predictions err, and a late answer is still worth something.
+	patience = 1.5
+	// shortestRetry bounds from below when a refused request may come back.
+	shortestRetry = 100 * time.Millisecond
+	// noServerWait is when to come back while no server is known: servers
+	// announce themselves about once in this time.
+	noServerWait = time.Second
+)
+
+// candidate is one way to serve a request.
+type candidate struct {
+	server  *server
+	region  string
+	wait    time.Duration
+	cached  int64
+	servers int
+}
+
+func (p *Placer) assign(now time.Time, request Request, best candidate) Decision {
+	if p.running == nil {
+		p.running = map[uint64]*run{}
+	}
+	s := best.server
+	load := Load{Running: 1, Prefill: request.Work.Prompt - best.cached, Memory: request.Work.Prompt - best.cached + request.Work.Output}
+	s.own.add(load)
+	s.sent = now
+	s.cache.touch(request.Work.Parts, cacheTokens(request.Service))
+	p.running[request.ID] = &run{server: s.Name, load: load, started: now, wait: best.wait}
+	return Decision{Server: &s.Server, Wait: best.wait, Cached: best.cached, Servers: best.servers}
+}
+
+// Began notes that the first event of a placed request has come.
+func (p *Placer) Began(now time.Time, id uint64) {
+	r, known := p.running[id]
+	if !known || r.began {
+		return
+	}
+	r.began = true
+	if s, known := p.servers[r.server]; known {
+		s.own.Prefill -= r.load.Prefill
+		s.noteSpeed(now.Sub(r.started), r.wait)
+	}
+	r.load.Prefill = 0
+}
+
+// Outcome is how a placed request ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Answered means that the server answered as it should.
+	Answered Outcome = iota
+	// Declined means that the server said that it did not run the request.
+	Declined
+	// Unreached means that the server could not be connected to.
+	Unreached
+	// Failed means that the server gave no usable answer.
+	Failed
+	// Dropped means that the caller gave up; it says nothing of the server.
+	Dropped
+)
+
+// Done ends a placement.
+func (p *Placer) Done(now time.Time, id uint64, outcome Outcome) {
+	r, known := p.running[id]
+	if !known {
+		return
+	}
+	delete(p.running, id)
+	s, known := p.servers[r.server]
+	if !known {
+		return
+	}
+	s.own.subtract(r.load)
+	s.note(now, outcome, p.mayEject(now, s))
+}
+
+// Loads returns what this instance has at each server.
+func (p *Placer) Loads() map[string]Load {
+	loads := map[string]Load{}
+	for name, s := range p.servers {
+		if s.own.Running > 0 {
+			loads[name] = s.own
+		}
+	}
+	return loads
+}
+
+// HearLoads takes in what another instance of this region has at each server.
+func (p *Placer) HearLoads(now time.Time, name string, loads map[string]Load) {
+	if p.peers == nil {
+		p.peers = map[string]peer{}
+	}
+	p.peers[name] = peer{heard: now, loads: loads}
+	for other, known := range p.peers {
+		if now.Sub(known.heard) > peerFreshness {
+			delete(p.peers, other)
+		}
+	}
+	p.sumOthers()
+}
+
+// sumOthers adds up what the other instances have at each server.
+func (p *Placer) sumOthers() {
+	for name, s := range p.servers {
+		s.others = Load{}
+		for _, other := range p.peers {
+			s.others.add(other.loads[name])
+		}
+	}
+}
+
+// HearRegion takes in what another region says of its services.
+func (p *Placer) HearRegion(now time.Time, region string, services map[string]Summary) {
+	if p.regions == nil {
+		p.regions = map[string]map[string]remote{}
+	}
+	known := map[string]remote{}
+	for name, summary := range services {
+		known[name] = remote{Summary: summary, heard: now}
+	}
+	p.regions[region] = known
+}
+
+// bestRemote returns the other region that would serve a request soonest.
+func (p *Placer) bestRemote(now time.Time, request Request) (best candidate, found bool) {
+	if request.Local {
+		return candidate{}, false
+	}
+	for region, services := range p.regions {
+		known, serves := services[request.Service.Name]
+		if !serves || known.Servers == 0 || now.Sub(known.heard) > remoteFreshness || !request.allows(region) {
+			continue
+		}
+		wait := known.Wait + regionTrip + readTime(request.Work.Prompt-sharedTokens(request.Work.Parts), 1)
+		if !found || wait < best.wait {
+			best, found = candidate{region: region, wait: wait}, true
+		}
+	}
+	return best, found
+}
+
+// regionTrip is the round trip to another region with the passing on of a
+// request there.
+const regionTrip = 130 * time.Millisecond
+
+func (r Request) allows(region string) bool {
+	for _, tried := range r.TriedRegions {
+		if tried == region {
+			return false
+		}
+	}
+	if !r.Bound {
+		return true
+	}
+	for _, home := range r.Homes {
+		if home == region {
+			return true
+		}
+	}
+	return false
+}
+
+// Summaries returns what other regions may know of the services here.
+func (p *Placer) Summaries(now time.Time) map[string]Summary {
+	summaries := map[string]Summary{}
+	for _, s := range p.servers {
+		if !p.usable(now, s) || s.cold(now) {
+			continue
+		}
+		wait := s.wait(0)
+		known, seen := summaries[s.Service]
+		if !seen || wait < known.Wait {
+			known.Wait = wait
+		}
+		known.Servers++
+		summaries[s.Service] = known
+	}
+	return summaries
+}
--- /dev/null
+++ b/internal/placer/server.go
@@ -0,0 +1,320 @@
+package placer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/boragehead/boragehead/internal/definer"
+	"github.com/boragehead/boragehead/internal/registrar"
+)
+
+// server is a backend server of this region with what is known of its work.
+type server struct {
+	registrar.Server
+	// engine servers read prompts; the others are plain services.
+	engine    bool
+	hash      uint64
+	coldUntil time.Time
+	own       Load
+	others    Load
+	// sent is when this instance last sent it a request.
+	sent time.Time
+	// speed is the observed time to a first event over the predicted one.
+	speed float64
+	cache cache
+
+	// failures in a row, the share of failures lately, and until when the
+	// server is set aside for them.
+	failures     int
+	failed       float64
+	ejectedUntil time.Time
+}
+
+// What an engine is assumed to do in a given time until it has been seen at
+// work. The figures are those of one engine of the installations' data sheets;
+// the observed speed corrects them.
+const (
+	// stepTime is one decoding step of an empty batch, and slotTime what each
+	// running request adds to it.
+	stepTime = 4340 * time.Microsecond
+	slotTime = 151 * time.Microsecond
+	// chunkTokens are read between two steps; readTokens are read in a
+	// millisecond.
+	chunkTokens = 2048
+	readTokens  = 36.7
+	// firstTime is what a first event takes apart from reading the prompt.
+	firstTime = 22 * time.Millisecond
+	// runTime is how long a slot is taken on average; it tells how soon one
+	// of a full batch comes free.
+	runTime = 3 * time.Second
+	// fullMemoryWait is what a prediction adds when the memory is taken.
+	fullMemoryWait = time.Second
+	// plainTime is one request of a plain service.
+	plainTime = 15 * time.Millisecond
+)
+
+// Times and bounds of ejection.
+const (
+	ejectAfter    = 3
+	ejectTime     = time.Second
+	longestEject  = 8 * time.Second
+	failureWeight = 0.15
+	// ejectShare of failures sets a server aside although some answers come.
+	ejectShare = 0.3
+	// mostEjected is the part of a service's servers that may be set aside.
+	mostEjected = 0.5
+	// speedWeight is the weight of one observation of a server's speed.
+	speedWeight = 0.1
+)
+
+// readTime predicts how long it takes to read a prompt beside a batch.
+func readTime(tokens int64, running int32) time.Duration {
+	if tokens <= 0 {
+		return 0
+	}
+	step := stepTime + time.Duration(running)*slotTime
+	perToken := 1/readTokens + step.Seconds()*1000/chunkTokens
+	return time.Duration(float64(tokens) * perToken * float64(time.Millisecond))
+}
+
+func (s *server) total() Load {
+	total := s.own
+	total.add(s.others)
+	return total
+}
+
+// wait predicts the time to the first event of a request that still has some
+// tokens to be read.
+func (s *server) wait(unread int64) time.Duration {
+	total := s.total()
+	if !s.engine {
+		rounds := float64(total.Running+1) / float64(max(s.Slots, 1))
+		return time.Duration(max(rounds, 1) * float64(plainTime) * s.speed)
+	}
+	wait := firstTime + readTime(total.Prefill+unread, total.Running)
+	if over := int(total.Running) + 1 - s.Slots; over > 0 && s.Slots > 0 {
+		wait += time.Duration(over) * runTime / time.Duration(s.Slots)
+	}
+	return time.Duration(float64(wait) * s.speed)
+}
+
+func (s *server) cold(now time.Time) bool {
+	return now.Before(s.coldUntil)
+}
+
+// noteSpeed averages how the observed time to a first event compares with the
+// prediction. Very short predictions say little.
+func (s *server) noteSpeed(observed, predicted time.Duration) {
+	const shortest = 20 * time.Millisecond
+	if predicted < shortest {
+		return
+	}
+	ratio := observed.Seconds() / predicted.Seconds() * s.speed
+	s.speed += speedWeight * (min(max(ratio, 0.5), 4) - s.speed)
+	s.speed = min(max(s.speed, 0.7), 3)
+}
+
+// note records how a request ended, and sets a failing server aside if others
+// can take its work.
+func (s *server) note(now time.Time, outcome Outcome, mayEject bool) {
+	switch outcome {
+	case Dropped, Declined:
+		return
+	case Answered:
+		s.failures = 0
+		s.failed -= failureWeight * s.failed
+		return
+	}
+	s.failures++
+	s.failed += failureWeight * (1 - s.failed)
+	often := s.failed > ejectShare && s.failures > 0
+	if (s.failures < ejectAfter && !often && outcome != Unreached) || !mayEject {
+		return
+	}
+	doublings := min(max(s.failures-ejectAfter, 0), 3)
+	s.ejectedUntil = now.Add(min(ejectTime<<doublings, longestEject))
+	s.failed /= 2
+}
+
+// Learn replaces what is known of the servers of this region.
+func (p *Placer) Learn(now time.Time, view *definer.View, servers []registrar.Server) {
+	if p.servers == nil {
+		p.servers = map[string]*server{}
+	}
+	seen := map[string]bool{}
+	for _, said := range servers {
+		seen[said.Name] = true
+		p.learn(now, view, said)
+	}
+	maps.DeleteFunc(p.servers, func(name string, s *server) bool {
+		return !seen[name] && s.own.Running == 0
+	})
+	for name, s := range p.servers {
+		if !seen[name] {
+			s.State = registrar.StateGone
+		}
+	}
+	p.sumOthers()
+}
+
+func (p *Placer) learn(now time.Time, view *definer.View, said registrar.Server) {
+	known, exists := p.servers[said.Name]
+	if !exists || known.Born != said.Born {
+		before := known
+		known = &server{hash: xxhash.Sum64String(said.Name), speed: 1}
+		if before != nil {
+			known.own = before.own
+		}
+		p.servers[said.Name] = known
+	}
+	if until := now.Add(said.Warmup - said.Age); said.Warmup > 0 && until.After(known.coldUntil) {
+		known.coldUntil = until
+	}
+	known.Server = said
+	if service, defined := view.Service(said.Service); defined {
+		known.engine = service.Engine != nil
+		if reopened := p.reopened[said.FailureDomain]; !reopened.IsZero() {
+			if until := reopened.Add(service.Warmup); until.After(known.coldUntil) {
+				known.coldUntil = until
+			}
+		}
+	}
+}
+
+// Close replaces the failure domains whose servers get nothing. Servers of a
+// domain that is opened again count as cold, as after a start.
+func (p *Placer) Close(now time.Time, domains []string) {
+	next := map[string]bool{}
+	for _, domain := range domains {
+		next[domain] = true
+	}
+	for domain := range p.closed {
+		if !next[domain] {
+			if p.reopened == nil {
+				p.reopened = map[string]time.Time{}
+			}
+			p.reopened[domain] = now
+		}
+	}
+	p.closed = next
+}
+
+// usable reports whether a server may get work now.
+func (p *Placer) usable(now time.Time, s *server) bool {
+	return s.State == registrar.StateReady && !s.Silent && !p.closed[s.FailureDomain] && !now.Before(s.ejectedUntil)
+}
+
+func (p *Placer) mayEject(now time.Time, failing *server) bool {
+	all, out := 0, 1
+	for _, s := range p.servers {
+		if s.Service != failing.Service || s.State != registrar.StateReady || s.Silent {
+			continue
+		}
+		all++
+		if s != failing && now.Before(s.ejectedUntil) {
+			out++
+		}
+	}
+	return float64(out) <= mostEjected*float64(all)
+}
+
+// bestLocal returns the server of this region that would serve a request
+// soonest.
+func (p *Placer) bestLocal(now time.Time, request Request) candidate {
+	var best candidate
+	if request.Bound && !slices.Contains(request.Homes, p.Region) {
+		return best
+	}
+	home := p.affine(now, request)
+	for _, s := range p.servers {
+		if s.Service != request.Service.Name || slices.Contains(request.Tried, s.Name) || !p.usable(now, s) {
+			continue
+		}
+		if s.cold(now) && !p.mayWarm(now, s, request.Service) {
+			continue
+		}
+		best.servers++
+		cached := s.cache.longest(request.Work.Parts)
+		if s == home {
+			cached = max(cached, sharedTokens(request.Work.Parts))
+		}
+		wait := s.wait(request.Work.Prompt - cached)
+		if memory := request.Service.Engine; memory != nil && memory.Memory > 0 {
+			if s.total().Memory+request.Work.Prompt-cached+request.Work.Output > memory.Memory {
+				wait += fullMemoryWait
+			}
+		}
+		if best.server == nil || wait < best.wait || wait == best.wait && s.hash < best.server.hash {
+			best.server, best.wait, best.cached = s, wait, cached
+		}
+	}
+	return best
+}
+
+// mayWarm reports whether a cold server may get a request from this instance.
+// One instance of the region owns each cold server, so that the rate that it
+// bears holds over all of them.
+func (p *Placer) mayWarm(now time.Time, s *server, service *definer.Service) bool {
+	if service.WarmupRate <= 0 {
+		return true
+	}
+	pause := time.Duration(float64(time.Second) / service.WarmupRate)
+	return p.owner(now, s) == p.Self && now.Sub(s.sent) >= pause
+}
+
+// owner returns the live instance of this region that a server belongs to.
+func (p *Placer) owner(now time.Time, s *server) string {
+	best := p.Self
+	highest := mix(xxhash.Sum64String(p.Self) ^ s.hash)
+	for name, other := range p.peers {
+		if now.Sub(other.heard) > peerFreshness {
+			continue
+		}
+		if rank := mix(xxhash.Sum64String(name) ^ s.hash); rank > highest {
+			best, highest = name, rank
+		}
+	}
+	return best
+}
+
+// affine returns the server that rendezvous hashing gives the last shared part
+// of a prompt, so that all instances of the region send it to the same place.
+func (p *Placer) affine(now time.Time, request Request) *server {
+	parts := request.Work.Parts
+	if len(parts) < 2 {
+		return nil
+	}
+	key := parts[len(parts)-2].ID
+	var best *server
+	var highest uint64
+	for _, s := range p.servers {
+		if s.Service != request.Service.Name || !p.usable(now, s) {
+			continue
+		}
+		if rank := mix(s.hash ^ key); best == nil || rank > highest {
+			best, highest = s, rank
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a combined hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// sharedTokens returns the tokens of all parts but the last.
+func sharedTokens(parts []Part) int64 {
+	total := int64(0)
+	for i := range len(parts) - 1 {
+		total += parts[i].Tokens
+	}
+	return total
+}
--- a/internal/replicator/group.go
+++ b/internal/replicator/group.go
@@ -34,7 +34,10 @@
 	inboxSize       = 1024
 	tickInterval    = 25 * time.Millisecond
 	snapshotBatches = 512
-	maxBatch        = 64
+	// snapshotBytes bounds the log between two snapshots; whole documents are
+	// large, and a small disk holds the old log and the new one at once.
+	snapshotBytes = 8 << 20
+	maxBatch      = 64
 )
 
 // Group runs a model: it performs its commands on a disk, a transport and a
@@ -50,6 +53,8 @@
 	waiting   map[uint64]chan outcome
 	byIndex   map[Index]uint64
 	terms     map[uint64]Term
+	// patience is the pause before a refused write is tried again; 0 gives up.
+	patience time.Duration
 
 	mu     sync.Mutex
 	nextID uint64
@@ -105,6 +110,12 @@
 	return group, nil
 }
 
+// Retry makes the group wait out a disk that refuses writes. Call it before
+// Run.
+func (g *Group) Retry(pause time.Duration) {
+	g.patience = pause
+}
+
 // Run performs the group's duty until the context ends or the disk fails.
 func (g *Group) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
@@ -120,7 +131,7 @@
 		case msg := <-g.inbox.Items():
 			msgs = g.drain(msg)
 		}
-		if err := g.step(msgs); err != nil {
+		if err := g.step(ctx, msgs); err != nil {
 			return trace.Wrap(err, "group %s stops: its disk cannot be trusted", g.name)
 		}
 	}
@@ -141,7 +152,7 @@
 }
 
 // step feeds messages to the model, then syncs, then performs the rest.
-func (g *Group) step(msgs []Msg) error {
+func (g *Group) step(ctx context.Context, msgs []Msg) error {
 	var cmds []Cmd
 	for _, msg := range msgs {
 		if found, ok := msg.(founding); ok {
@@ -152,7 +163,7 @@
 		}
 		cmds = append(cmds, g.update(msg)...)
 	}
-	if err := g.persist(cmds); err != nil {
+	if err := g.persistPatiently(ctx, cmds); err != nil {
 		return err
 	}
 	for _, cmd := range cmds {
@@ -161,7 +172,32 @@
 		}
 	}
 	g.publish()
-	return g.maybeCompact()
+	g.maybeCompact()
+	return nil
+}
+
+// persistPatiently retries while the disk refuses writes. Nothing that depends
+// on the records is sent meanwhile, so the other stores see this one as silent
+// and go on without it.
+func (g *Group) persistPatiently(ctx context.Context, cmds []Cmd) error {
+	err := g.persist(cmds)
+	if err == nil || g.patience == 0 {
+		return err
+	}
+	klog.ErrorS(err, "disk refuses writes: this store pauses", "group", g.name)
+	since := time.Now()
+	for err != nil {
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(err)
+		case <-time.After(g.patience):
+		}
+		if err = g.store.journal.Repair(); err == nil {
+			err = g.persist(cmds)
+		}
+	}
+	klog.InfoS("disk takes writes again", "group", g.name, "paused", time.Since(since))
+	return nil
 }
 
 func (g *Group) update(msg Msg) []Cmd {
@@ -285,19 +321,24 @@
 	}
 }
 
-// maybeCompact keeps the log bounded.
-func (g *Group) maybeCompact() error {
-	_, batches := g.store.journal.Size()
+// maybeCompact keeps the log bounded. When the disk refuses the snapshot the
+// old log stays, and the next try comes with the next batch.
+func (g *Group) maybeCompact() {
+	size, batches := g.store.journal.Size()
 	applied := g.model.applied
-	if batches < snapshotBatches || applied <= g.model.log.snapshot.Index {
-		return nil
+	due := batches >= snapshotBatches || size >= snapshotBytes
+	if !due || applied <= g.model.log.snapshot.Index {
+		return
 	}
 	data, err := g.machine.Snapshot()
 	if err != nil {
-		return trace.Wrap(err)
+		klog.ErrorS(err, "state not encoded: the log grows on", "group", g.name)
+		return
 	}
 	g.model.Update(g.model.clock(), Compacted{Snapshot: g.model.Snapshot(data)})
-	return g.store.compact(g.model.Stored())
+	if err := g.store.compact(g.model.Stored()); err != nil {
+		klog.ErrorS(err, "snapshot not written: the log grows on", "group", g.name)
+	}
 }
 
 func (g *Group) found(found founding) error {
--- a/internal/replicator/leader.go
+++ b/internal/replicator/leader.go
@@ -37,7 +37,7 @@
 	if m.transfer != "" && m.now.Sub(m.transferred) >= m.election {
 		m.transfer = ""
 	}
-	m.promote()
+	m.manage()
 }
 
 // answeredLately reports whether a voter spoke within two election timeouts.
--- a/internal/replicator/model.go
+++ b/internal/replicator/model.go
@@ -36,6 +36,9 @@
 	clock     func() time.Time
 	election  time.Duration
 	heartbeat time.Duration
+	// target is how many voters the leader aims at; 0 gives every store that
+	// has caught up a vote.
+	target int
 
 	now     time.Time
 	role    Role
@@ -92,6 +95,13 @@
 	}
 }
 
+// WithVoters lets the leader manage the members by itself: it aims at a number
+// of voters, keeps further stores as standbys, and lets a standby take the
+// place of a voter that has fallen silent.
+func WithVoters(target int) Option {
+	return func(m *Model) { m.target = target }
+}
+
 // WithSeed makes the election timeouts repeatable.
 func WithSeed(seed uint64) Option {
 	return func(m *Model) { m.random = rand.New(rand.NewPCG(seed, 0)) }
--- a/internal/replicator/store.go
+++ b/internal/replicator/store.go
@@ -31,10 +31,17 @@
 
 // OpenIdentity reads the identity of a disk. An empty disk gets a new one.
 func OpenIdentity(disk journaler.Disk) (*Identity, error) {
+	return OpenIdentityAs(disk, newStoreID())
+}
+
+// OpenIdentityAs is OpenIdentity with the identity of an empty disk given. The
+// first members of a fleet know each other's identities that way before they
+// have spoken. An identity must never be given to a second disk.
+func OpenIdentityAs(disk journaler.Disk, first StoreID) (*Identity, error) {
 	identity := &Identity{disk: disk}
 	data, err := disk.Read(identityName)
 	if errors.Is(err, fs.ErrNotExist) {
-		identity.Store = newStoreID()
+		identity.Store = first
 		return identity, identity.save()
 	}
 	if err != nil {
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -18,6 +19,7 @@
 	"github.com/boragehead/boragehead/internal/authenticator"
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/claimer"
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/director"
 	"github.com/boragehead/boragehead/internal/dispatcher"
 	"github.com/boragehead/boragehead/internal/exchanger"
@@ -178,25 +180,25 @@
 	}
 	peerServer := messenger.NewServer(ports.peers, credentials, g.mux)
 	defer g.client.Close()
-	actors := newActors()
-	actors.add("dispatcher", g.dispatcher.Run)
-	actors.add("gossip", g.fleet.run)
-	actors.add("ledger", g.ledger.run)
-	actors.add("configurator", g.runConfigurator)
-	actors.add("sweeper", g.runSweeper)
+	actors := &conductor.Actors{}
+	actors.Add("dispatcher", g.dispatcher.Run)
+	actors.Add("gossip", g.fleet.run)
+	actors.Add("ledger", g.ledger.run)
+	actors.Add("configurator", g.runConfigurator)
+	actors.Add("sweeper", g.runSweeper)
 	for _, k := range g.settings.Keepers {
-		actors.add("watch-"+k.Name, func(ctx context.Context) error { return g.watch.followKeeper(ctx, k) })
+		actors.Add("watch-"+k.Name, func(ctx context.Context) error { return g.watch.followKeeper(ctx, k) })
 	}
 	for slot := range leadsPerDomain {
-		actors.add("watch-lead", func(ctx context.Context) error { return g.watch.followLead(ctx, slot) })
+		actors.Add("watch-lead", func(ctx context.Context) error { return g.watch.followLead(ctx, slot) })
 	}
-	actors.add("peers", peerServer.Run)
-	actors.serve("relays", g.relays, peerServer.Streams())
-	actors.serve("backends", g.backends, ports.backends)
+	actors.Add("peers", peerServer.Run)
+	actors.Serve("relays", g.relays, peerServer.Streams())
+	actors.Serve("backends", g.backends, ports.backends)
 	callers := make(chan net.Listener, 1)
-	actors.serveLater("callers", g.callers, callers)
-	actors.add("starter", func(ctx context.Context) error { return g.start(ctx, callers) })
-	return actors.run(ctx, g.stop)
+	actors.ServeLater("callers", g.callers, callers)
+	actors.Add("starter", func(ctx context.Context) error { return g.start(ctx, callers) })
+	return actors.Run(ctx, g.stop)
 }
 
 // ports are the listeners of an entry instance.
@@ -318,3 +320,21 @@
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// stopping asks callers to close their connections once a stop has begun.
+type stopping struct {
+	begun atomic.Bool
+}
+
+func (s *stopping) begin() {
+	s.begun.Store(true)
+}
+
+func (s *stopping) wrap(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.begun.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
--- a/internal/runner/keeper.go
+++ b/internal/runner/keeper.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/journaler"
 	"github.com/boragehead/boragehead/internal/keeper"
 	"github.com/boragehead/boragehead/internal/loader"
@@ -56,14 +57,14 @@
 		TLSConfig:         credentials.Server("http/1.1"),
 		ReadHeaderTimeout: backendHeaderTimeout,
 	}
-	actors := newActors()
+	actors := &conductor.Actors{}
 	for _, duty := range k.Duties() {
-		actors.add(duty.Name, duty.Run)
+		actors.Add(duty.Name, duty.Run)
 	}
-	actors.add("peers", messenger.NewServer(peers, credentials, mux).Run)
-	actors.serveTLS("operators", api, operators)
+	actors.Add("peers", messenger.NewServer(peers, credentials, mux).Run)
+	actors.ServeTLS("operators", api, operators)
 	klog.InfoS("keeper serves", "name", settings.Name, "operators", settings.OperatorAddress.String())
-	return actors.run(ctx, func(ctx context.Context) {
+	return actors.Run(ctx, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, keeperStopLimit)
 		defer cancel()
 		k.HandOver(ctx)
--- a/internal/runner/standin.go
+++ b/internal/runner/standin.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/imitator"
 	"github.com/boragehead/boragehead/internal/loader"
 )
@@ -35,8 +36,8 @@
 	announcing, leave := context.WithCancel(ctx)
 	defer leave()
 	service := &http.Server{Handler: server, ReadHeaderTimeout: backendHeaderTimeout}
-	actors := newActors()
-	actors.add("announcer", func(ctx context.Context) error {
+	actors := &conductor.Actors{}
+	actors.Add("announcer", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, leave)
 		defer stop()
 		if err := announcer.Run(announcing); err != nil {
@@ -45,9 +46,9 @@
 		<-ctx.Done()
 		return nil
 	})
-	actors.serve("service", service, listener)
+	actors.Serve("service", service, listener)
 	klog.InfoS("stand-in serves", "name", settings.Name, "address", settings.Address.String())
-	return actors.run(ctx, func(ctx context.Context) {
+	return actors.Run(ctx, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, standinStopLimit)
 		defer cancel()
 		leave()
