controller: callers without an entry instance in their region are led to a home of the bound routes

Change: among other regions, those that most bound routes allow. Ruled out: a control instance that had heard nobody; all three had heard both instances stop.

--- a/internal/controller/places.go
+++ b/internal/controller/places.go
@@ -12,6 +12,7 @@
 
 	"github.com/boragehead/boragehead/internal/beaconer"
 	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/definer"
 	"github.com/boragehead/boragehead/internal/registrar"
 	"github.com/boragehead/boragehead/internal/replicator"
 )
@@ -33,6 +34,10 @@
 	revision  uint64
 	// taken is the revision of the servers that each entry instance has.
 	taken map[string]uint64
+	// allowed are the bound routes that each region may serve, counted in a
+	// version of the definition.
+	counted definer.Version
+	allowed map[string]int
 }
 
 type heardInstance struct {
@@ -120,20 +125,27 @@
 const mostNamed = 64
 
 // Resolve returns the callers' addresses of the entry instances that a caller
-// in a failure domain and region should use: the nearest that are ready.
+// in a failure domain and region should use: the nearest that are ready. Where
+// the caller's region has none, it is led to the region that most of the bound
+// routes allow.
 func (c *Controller) Resolve(failureDomain, region string) []netip.AddrPort {
+	allowed := c.allowed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	nearest := 0
+	var best rank
 	var named []heardInstance
 	for _, instance := range c.places.instances {
 		if instance.state != beaconer.StateReady {
 			continue
 		}
-		switch near := nearness(instance, failureDomain, region); {
-		case near > nearest:
-			nearest, named = near, []heardInstance{instance}
-		case near == nearest:
+		at := rank{near: nearness(instance, failureDomain, region)}
+		if at.near == 0 {
+			at.allowed = allowed[instance.Region]
+		}
+		switch order := at.compare(best); {
+		case order > 0 || len(named) == 0:
+			best, named = at, []heardInstance{instance}
+		case order == 0:
 			named = append(named, instance)
 		}
 	}
@@ -145,6 +157,38 @@
 	return addresses
 }
 
+// rank orders entry instances for one caller; higher is better.
+type rank struct {
+	near    int
+	allowed int
+}
+
+func (r rank) compare(other rank) int {
+	return cmp.Or(cmp.Compare(r.near, other.near), cmp.Compare(r.allowed, other.allowed))
+}
+
+// allowed counts for each region the bound routes that it may serve.
+func (c *Controller) allowed() map[string]int {
+	state := c.machine.state()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.places.counted == state.Version {
+		return c.places.allowed
+	}
+	counts := map[string]int{}
+	definition, err := c.decode(state.Document)
+	if err != nil {
+		klog.ErrorS(err, "accepted definition not understood", "version", state.Version)
+	}
+	for _, route := range definition.Routes {
+		for _, home := range route.Homes {
+			counts[home]++
+		}
+	}
+	c.places.counted, c.places.allowed = state.Version, counts
+	return counts
+}
+
 func nearness(instance heardInstance, failureDomain, region string) int {
 	switch {
 	case instance.FailureDomain == failureDomain:
