--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -34,28 +34,23 @@
 	f.retries.earn(call.Service.Name)
 	out := &output{writer: w, call: call, forwarder: f, lastEvent: call.LastEvent}
 	request := f.placement(call)
-	ran := 0
 	for try := 0; ; try++ {
-		if try > 0 && !f.mayRepeat(call, try, ran) {
-			return f.giveUp(ctx, out, ran)
+		if try > 0 && !f.mayRepeat(out, try) {
+			return f.giveUp(ctx, out)
 		}
 		request.ID = f.nextID.Add(1)
 		request.Started = out.started
 		decision := f.fleet.Place(request)
 		if decision.Refused != "" {
-			return f.unplaced(ctx, out, decision, ran)
+			return f.unplaced(ctx, out, decision)
 		}
 		call.trail.note = ""
 		result := f.offer(ctx, out, request.ID, decision)
-		switch result {
-		case answered:
+		if result == answered {
 			return nil
-		case declined:
-		default:
-			ran++
 		}
 		if ctx.Err() != nil || result != declined && !call.Route.Repeatable() {
-			return f.giveUp(ctx, out, ran)
+			return f.giveUp(ctx, out)
 		}
 		if decision.Server != nil {
 			request.Tried = append(request.Tried, decision.Server.Name)
@@ -91,8 +86,9 @@
 
 // mayRepeat reports whether one more attempt is allowed: by the route, if the
 // request has run, and by the budget of the service.
-func (f *Forwarder) mayRepeat(call *Call, try, ran int) bool {
-	if try >= mostTries || ran >= max(call.Route.Attempts, 1) {
+func (f *Forwarder) mayRepeat(out *output, try int) bool {
+	call := out.call
+	if try >= mostTries || out.ran >= max(call.Route.Attempts, 1) {
 		return false
 	}
 	if !f.retries.spend(call.Service.Name) {
@@ -104,11 +100,11 @@
 }
 
 // unplaced ends a call for which no place was found.
-func (f *Forwarder) unplaced(ctx context.Context, out *output, decision placer.Decision, ran int) *Refusal {
+func (f *Forwarder) unplaced(ctx context.Context, out *output, decision placer.Decision) *Refusal {
 	out.call.trail.usable = decision.Servers
 	out.call.trail.wait = decision.Wait
-	if ran > 0 || out.started {
-		return f.giveUp(ctx, out, ran)
+	if out.ran > 0 || out.started {
+		return f.giveUp(ctx, out)
 	}
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: string(decision.Refused), RetryAfter: decision.Wait}
 }
@@ -117,7 +113,8 @@
 const declinedRetry = 200 * time.Millisecond
 
 // giveUp ends a call that gets no more attempts.
-func (f *Forwarder) giveUp(ctx context.Context, out *output, ran int) *Refusal {
+func (f *Forwarder) giveUp(ctx context.Context, out *output) *Refusal {
+	ran := out.ran
 	switch {
 	case out.started:
 		// The status and a part of the body are out: only breaking the
@@ -127,11 +124,11 @@
 	case out.kept != nil:
 		return out.passKept()
 	case errors.Is(ctx.Err(), context.Canceled):
-		return &Refusal{Status: statusCallerGone, Reason: "caller-gone", Ran: ran > 0}
+		return &Refusal{Status: statusCallerGone, Reason: "caller-gone", Ran: ran > 0, Servers: ran}
 	case ctx.Err() != nil && ran > 0:
-		return &Refusal{Status: http.StatusGatewayTimeout, Reason: "deadline", Ran: true}
+		return &Refusal{Status: http.StatusGatewayTimeout, Reason: "deadline", Ran: true, Servers: ran}
 	case ran > 0:
-		return &Refusal{Status: http.StatusBadGateway, Reason: "no-answer", Ran: true}
+		return &Refusal{Status: http.StatusBadGateway, Reason: "no-answer", Ran: true, Servers: ran}
 	}
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "declined", RetryAfter: declinedRetry}
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -73,6 +73,8 @@
 	// Ran means that the request may have run. Only refusals of requests that
 	// have not run, and never will, may be answered with a status that says so.
 	Ran bool
+	// Servers is how many servers may have run it.
+	Servers int
 }
 
 // Send is what a dialect tells a server of a call.
--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -30,6 +30,8 @@
 	lastEvent string
 	// kept is a failure of a server that is passed on if no attempt succeeds.
 	kept *kept
+	// ran is how many servers may have run the request.
+	ran int
 }
 
 // kept is a whole answer.
@@ -91,6 +93,9 @@
 // the library from adding its own.
 func (o *output) head(from http.Header) {
 	header := o.writer.Header()
+	if o.call.Relayed {
+		header.Set(headerRan, strconv.Itoa(o.ran))
+	}
 	from = from.Clone()
 	removeHopHeaders(from)
 	for name, values := range from {
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -45,13 +45,16 @@
 		return
 	}
 	t := call.trail
-	retryAfter := time.Duration(0)
+	var retryAfter, left time.Duration
 	if refusal != nil {
 		retryAfter = refusal.RetryAfter
 	}
+	if !call.Deadline.IsZero() {
+		left = time.Until(call.Deadline)
+	}
 	klog.InfoS("request", "id", call.ID, "outcome", outcome, "status", t.status, "reason", reason, "note", t.note,
 		"route", route, "workspace", workspace, "version", t.version, "relayed", call.Relayed, "server", t.server,
 		"region", t.region, "usable", t.usable, "attempts", t.attempts, "predicted", t.wait, "cached", t.cached,
-		"prompt", call.Work.Prompt, "first", t.first, "took", took, "left", time.Until(call.Deadline),
+		"prompt", call.Work.Prompt, "first", t.first, "took", took, "left", left,
 		"retry-after", retryAfter, "left-out", leftOut)
 }
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -20,6 +21,8 @@
 	headerRelay = "Boragehead-Relay"
 	// headerOutcome marks a refusal of the instance itself.
 	headerOutcome = "Boragehead-Outcome"
+	// headerRan says on how many servers the request may have run there.
+	headerRan = "Boragehead-Ran"
 
 	outcomeNotRun  = "not-run"
 	outcomeUnknown = "unknown"
@@ -34,7 +37,9 @@
 	Workspace *definer.Workspace `cbor:"w,omitempty"`
 	Version   definer.Version    `cbor:"v"`
 	Work      placer.Work        `cbor:"k"`
-	Urgency   int                `cbor:"u"`
+	// Attempts is how many servers the request may still run on.
+	Attempts int `cbor:"a"`
+	Urgency  int `cbor:"u"`
 	// Left is the time until the deadline, and Due until the objective.
 	Left      time.Duration `cbor:"l"`
 	Due       time.Duration `cbor:"o"`
@@ -42,20 +47,30 @@
 }
 
 // relay passes a call on to an instance of another region.
+// It counts the servers that the request may have run on there: all that it
+// allowed, unless the answer says less.
 func (f *Forwarder) relay(ctx context.Context, out *output, region string) verdict {
+	before := out.ran
+	result, ran := f.relayOnce(ctx, out, region)
+	out.ran = before + ran
+	return result
+}
+
+func (f *Forwarder) relayOnce(ctx context.Context, out *output, region string) (result verdict, ran int) {
 	call := out.call
+	left := max(max(call.Route.Attempts, 1)-out.ran, 1)
 	address, known := f.fleet.Relay(region)
 	if !known {
 		call.trail.note = "no instance of the region is heard"
-		return declined
+		return declined, 0
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	request, connected := newRequest(ctx, call, address.String())
-	header, err := encodeRelayed(call, out.lastEvent)
+	header, err := encodeRelayed(call, out.lastEvent, left)
 	if err != nil {
 		klog.ErrorS(err, "call not encoded for a relay", "id", call.ID)
-		return declined
+		return declined, 0
 	}
 	request.Header.Set(headerRelay, header)
 	f.counters.Count("relays")
@@ -63,24 +78,28 @@
 	if err != nil {
 		call.trail.note = err.Error()
 		if !connected.Load() {
-			return declined
+			return declined, 0
 		}
-		return lost
+		return lost, left
 	}
 	defer func() { _ = response.Body.Close() }()
+	if said, err := strconv.Atoi(response.Header.Get(headerRan)); err == nil && said >= 0 {
+		left = min(left, said)
+	}
+	response.Header.Del(headerRan)
 	switch response.Header.Get(headerOutcome) {
 	case outcomeNotRun:
 		call.trail.note = "refused there: " + response.Status
-		return declined
+		return declined, 0
 	case outcomeUnknown:
 		call.trail.note = "failed there: " + response.Status
-		return lost
+		return lost, left
 	}
-	result, _ := f.judge(out, response)
-	return result
+	result, _ = f.judge(out, response)
+	return result, left
 }
 
-func encodeRelayed(call *Call, lastEvent string) (string, error) {
+func encodeRelayed(call *Call, lastEvent string, attempts int) (string, error) {
 	workspace := call.Workspace
 	if workspace != nil {
 		// Only the name is needed there; keys stay here.
@@ -92,7 +111,7 @@
 	}
 	data, err := cbor.Marshal(relayed{
 		ID: call.ID, Route: *call.Route, Service: *call.Service, Workspace: workspace, Version: call.trail.version,
-		Work: call.Work, Urgency: call.Urgency, Left: time.Until(call.Deadline), Due: due, LastEvent: lastEvent,
+		Work: call.Work, Attempts: attempts, Urgency: call.Urgency, Left: time.Until(call.Deadline), Due: due, LastEvent: lastEvent,
 	})
 	return base64.StdEncoding.EncodeToString(data), err
 }
@@ -118,6 +137,7 @@
 		if refusal.Ran {
 			outcome = outcomeUnknown
 		}
+		w.Header().Set(headerRan, strconv.Itoa(refusal.Servers))
 		w.Header().Set(headerOutcome, outcome)
 		w.WriteHeader(refusal.Status)
 	}
@@ -153,5 +173,6 @@
 	}
 	call.trail.version = decided.Version
 	call.Route.Objective = max(decided.Due, time.Millisecond)
+	call.Route.Attempts = decided.Attempts
 	return call, nil
 }
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -96,10 +96,17 @@
 		if !connected.Load() {
 			return declined, placer.Unreached
 		}
+		out.ran++
 		return lost, placer.Failed
 	}
 	defer func() { _ = response.Body.Close() }()
-	return f.judge(out, response)
+	before := out.ran
+	out.ran++ // as long as it does not say that it has not run the request
+	result, outcome := f.judge(out, response)
+	if result == declined {
+		out.ran = before
+	}
+	return result, outcome
 }
 
 // newRequest copies a call's request for another host. It reports whether a
@@ -117,14 +124,27 @@
 	if _, named := header["User-Agent"]; !named {
 		header["User-Agent"] = nil // the library would name itself
 	}
-	// A body without GetBody is never sent a second time by the transport.
 	request := (&http.Request{
 		Method: in.Method, URL: &address, Host: in.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(call.Body)), Body: io.NopCloser(bytes.NewReader(call.Body)),
+		ContentLength: int64(len(call.Body)), Body: bodyOf(call),
 	}).WithContext(ctx)
 	return request, connected
 }
 
+// bodyOf returns a body that the transport never sends a second time: it repeats
+// a GET without a body by itself, but nothing whose body it cannot rewind. For
+// the methods that have a body, an empty one must be plain to see, or it is sent
+// in chunks.
+func bodyOf(call *Call) io.ReadCloser {
+	switch call.Request.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		if len(call.Body) == 0 {
+			return http.NoBody
+		}
+	}
+	return io.NopCloser(bytes.NewReader(call.Body))
+}
+
 // hopHeaders concern one connection only.
 var hopHeaders = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
