--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -19,6 +19,11 @@
 	Close  *closing `cbor:"c,omitempty"`
 }
 
+func encodeCommand(c command) ([]byte, error) {
+	data, err := cbor.Marshal(c)
+	return data, trace.Wrap(err)
+}
+
 // define replaces the definition, if its version is higher.
 type define struct {
 	Version  definer.Version `cbor:"v"`
--- a/internal/controller/operate.go
+++ b/internal/controller/operate.go
@@ -6,7 +6,6 @@
 	"errors"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
@@ -80,7 +79,7 @@
 // known it waits for one as long as the context allows. It is tried again only
 // after answers that say that it was not taken.
 func (c *Controller) change(ctx context.Context, next command) (applied, error) {
-	data, err := cbor.Marshal(next)
+	data, err := encodeCommand(next)
 	if err != nil {
 		return applied{}, trace.Wrap(err)
 	}
--- a/internal/imitator/disk.go
+++ b/internal/imitator/disk.go
@@ -8,6 +8,9 @@
 	"github.com/boragehead/boragehead/internal/journaler"
 )
 
+// ErrFull is returned by a disk that has no room.
+var ErrFull = errors.New("no space left")
+
 // ErrCrashed is returned by a disk whose machine has crashed.
 var ErrCrashed = errors.New("crashed")
 
@@ -19,6 +22,8 @@
 	// fuse is how many more operations succeed; below 0 there is no limit.
 	fuse    int
 	crashed bool
+	// refusals is how many more writes find no room.
+	refusals int
 }
 
 // diskFile is what is durable of a file, and what was written after.
@@ -37,6 +42,11 @@
 	d.fuse = operations
 }
 
+// Refuse makes a number of later writes find no room. A part of each is kept.
+func (d *Disk) Refuse(writes int) {
+	d.refusals = writes
+}
+
 // Restart ends a crash: what was not synced is lost, but for a random prefix.
 func (d *Disk) Restart() {
 	for _, file := range d.files {
@@ -133,6 +143,11 @@
 		}
 		return 0, ErrCrashed
 	}
+	if f.disk.refusals > 0 {
+		f.disk.refusals--
+		f.file.written = append(f.file.written, data[:f.disk.random.IntN(len(data)+1)]...)
+		return 0, ErrFull
+	}
 	f.file.written = append(f.file.written, data...)
 	return len(data), nil
 }
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -25,6 +25,8 @@
 	// applied is what any node applied at each index, to compare all with.
 	applied map[Index]string
 	nextID  uint64
+	// target is how many voters the leaders aim at; 0 leaves it to operators.
+	target int
 }
 
 // node is one store's process.
@@ -143,7 +145,7 @@
 	n.identity = identity
 	n.machine = &register{cluster: c}
 	n.group, err = Open(identity, "group", n.machine, wire{cluster: c, from: n},
-		WithClock(func() time.Time { return c.now }), WithSeed(c.random.Uint64()))
+		WithClock(func() time.Time { return c.now }), WithSeed(c.random.Uint64()), WithVoters(c.target))
 	assert.NilError(c.t, err)
 	n.down = false
 }
