placer: stay where a prompt is kept, copy it otherwise, predict the end of the output

Change: waits below half the objective count alike and then the price decides; a server that lacks parts copies them from the one that keeps them; a prediction covers the output at the pace that the batch and the prompts leave.

--- a/internal/definer/definer.go
+++ b/internal/definer/definer.go
@@ -104,7 +104,8 @@
 	Memory int64
 	// EventTokens is how many tokens one event of a stream holds.
 	EventTokens int
-	// Moves means that running requests can be copied to another engine.
+	// Moves means that what an engine keeps of a prompt can be copied to
+	// another engine.
 	Moves bool
 }
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -70,7 +70,7 @@
 		return f.relay(ctx, out, decision.Region)
 	}
 	trail.server = decision.Server.Name
-	return f.send(ctx, out, id, *decision.Server)
+	return f.send(ctx, out, id, decision)
 }
 
 func (f *Forwarder) placement(call *Call) placer.Request {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -86,6 +86,8 @@
 	Urgency   int
 	// LastEvent is set when a stream goes on.
 	LastEvent string
+	// Source, unless invalid, is a server to copy a part of the prompt from.
+	Source netip.AddrPort
 }
 
 // Answer is what a dialect reads from a server's headers.
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -17,7 +17,6 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/boragehead/boragehead/internal/placer"
-	"github.com/boragehead/boragehead/internal/registrar"
 )
 
 // Times and bounds of connections.
@@ -63,13 +62,13 @@
 }
 
 // send makes one attempt at a server of this region.
-func (f *Forwarder) send(ctx context.Context, out *output, id uint64, server registrar.Server) verdict {
+func (f *Forwarder) send(ctx context.Context, out *output, id uint64, decision placer.Decision) verdict {
 	started := time.Now()
 	out.began = func() {
 		f.fleet.Began(id)
 		f.counters.Observe("server-first-byte", time.Since(started))
 	}
-	result, outcome := f.exchange(ctx, out, server)
+	result, outcome := f.exchange(ctx, out, decision)
 	if ctx.Err() != nil && result != answered {
 		outcome = placer.Dropped
 	}
@@ -78,13 +77,17 @@
 }
 
 // exchange makes one round trip to a server.
-func (f *Forwarder) exchange(ctx context.Context, out *output, server registrar.Server) (verdict, placer.Outcome) {
+func (f *Forwarder) exchange(ctx context.Context, out *output, decision placer.Decision) (verdict, placer.Outcome) {
+	server := decision.Server
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	call := out.call
 	send := Send{
 		ID: call.ID, Server: server.Name, Left: time.Until(call.Deadline), Urgency: call.Urgency, LastEvent: out.lastEvent,
 	}
+	if decision.Source != nil {
+		send.Source = decision.Source.Address
+	}
 	if call.Workspace != nil {
 		send.Workspace = call.Workspace.Name
 	}
--- a/internal/placer/cache.go
+++ b/internal/placer/cache.go
@@ -8,7 +8,7 @@
 
 // cacheShare is the part of an engine's memory that is expected to keep parts
 // of earlier prompts; running requests hold the rest.
-const cacheShare = 0.5
+const cacheShare = 0.7
 
 // cacheTokens returns how much an engine of a service is expected to keep.
 func cacheTokens(service *definer.Service) int64 {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -21,6 +21,8 @@
 	// Prompt and Output are in tokens; Output is the most that may come.
 	Prompt int64
 	Output int64
+	// Expected is how much output the caller expects; 0 when it did not say.
+	Expected int64
 	// Parts make up the prompt, in order. Requests share parts; the last one
 	// belongs to the request itself or to its session.
 	Parts []Part
@@ -37,6 +39,14 @@
 	return float64(w.Prompt + w.Output)
 }
 
+// expected returns the tokens that are likely to come.
+func (w Work) expected() int64 {
+	if w.Expected <= 0 || w.Expected > w.Output {
+		return w.Output
+	}
+	return w.Expected
+}
+
 // Request is what a placement depends on.
 type Request struct {
 	ID      uint64
@@ -81,6 +91,9 @@
 	// Cached is how much of the prompt the server is expected to keep, in
 	// tokens.
 	Cached int64
+	// Source, unless nil, is a server that keeps more of the prompt, from which
+	// the chosen one can copy it.
+	Source *registrar.Server
 	// Servers is how many servers were usable.
 	Servers int
 }
@@ -101,12 +114,15 @@
 	Prefill int64 `cbor:"p"`
 	// Memory is what running requests hold, in tokens.
 	Memory int64 `cbor:"m"`
+	// Pace is the tokens a second that were sent to be read lately.
+	Pace float64 `cbor:"c,omitempty"`
 }
 
 func (l *Load) add(other Load) {
 	l.Running += other.Running
 	l.Prefill += other.Prefill
 	l.Memory += other.Memory
+	l.Pace += other.Pace
 }
 
 func (l *Load) subtract(other Load) {
@@ -226,11 +242,15 @@
 
 // candidate is one way to serve a request.
 type candidate struct {
-	server  *server
-	region  string
-	wait    time.Duration
-	cached  int64
+	server *server
+	region string
+	wait   time.Duration
+	cached int64
+	// source keeps more of the prompt than the server itself.
+	source  *server
 	servers int
+	// price is what the choice costs beside the wait, in time.
+	price time.Duration
 }
 
 func (p *Placer) assign(now time.Time, request Request, best candidate) Decision {
@@ -238,12 +258,18 @@
 		p.running = map[uint64]*run{}
 	}
 	s := best.server
-	load := Load{Running: 1, Prefill: request.Work.Prompt - best.cached, Memory: request.Work.Prompt - best.cached + request.Work.Output}
+	unread := request.Work.Prompt - best.cached
+	load := Load{Running: 1, Prefill: unread, Memory: unread + request.Work.expected()}
+	s.pace.add(now, float64(unread))
 	s.own.add(load)
 	s.sent = now
 	s.cache.touch(request.Work.Parts, cacheTokens(request.Service))
 	p.running[request.ID] = &run{server: s.Name, load: load, started: now, wait: best.wait}
-	return Decision{Server: &s.Server, Wait: best.wait, Cached: best.cached, Servers: best.servers}
+	decision := Decision{Server: &s.Server, Wait: best.wait, Cached: best.cached, Servers: best.servers}
+	if best.source != nil {
+		decision.Source = &best.source.Server
+	}
+	return decision
 }
 
 // Began notes that the first event of a placed request has come.
@@ -297,7 +323,9 @@
 	loads := map[string]Load{}
 	for name, s := range p.servers {
 		if s.own.Running > 0 {
-			loads[name] = s.own
+			load := s.own
+			load.Pace = s.pace.rate(s.seen)
+			loads[name] = load
 		}
 	}
 	return loads
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -20,8 +20,12 @@
 	coldUntil time.Time
 	own       Load
 	others    Load
-	// sent is when this instance last sent it a request.
+	// sent is when this instance last sent it a request, and seen when it was
+	// last considered.
 	sent time.Time
+	seen time.Time
+	// pace is the rate at which this instance sends it prompts to read.
+	pace meter
 	// speed is the observed time to a first event over the predicted one.
 	speed float64
 	cache cache
@@ -221,14 +225,27 @@
 	return float64(out) <= mostEjected*float64(all)
 }
 
-// bestLocal returns the server of this region that would serve a request
-// soonest.
+// What a choice among servers that are all in time costs beside the wait. A
+// token that is read again though another server keeps it is worth more time
+// than one that is copied, and both more than one that is there.
+const (
+	readPrice = 70 * time.Microsecond
+	copyPrice = 15 * time.Microsecond
+	// copyLeast is the fewest tokens that are worth a copy.
+	copyLeast = 256
+	// copyTime is what a copy takes beside the reading.
+	copyTime = 12 * time.Millisecond
+)
+
+// bestLocal returns the server of this region that would serve a request best:
+// in time, and then at the lowest price.
 func (p *Placer) bestLocal(now time.Time, request Request) candidate {
 	var best candidate
 	if request.Bound && !slices.Contains(request.Homes, p.Region) {
 		return best
 	}
-	home := p.affine(now, request)
+	keeper, kept := p.keeper(now, request)
+	enough := time.Duration(float64(request.Objective.Sub(now)) * stayShare)
 	for _, s := range p.servers {
 		if s.Service != request.Service.Name || slices.Contains(request.Tried, s.Name) || !p.usable(now, s) {
 			continue
@@ -236,22 +253,96 @@
 		if s.cold(now) && !p.mayWarm(now, s, request.Service) {
 			continue
 		}
-		best.servers++
-		cached := s.cache.longest(request.Work.Parts)
-		if s == home {
-			cached = max(cached, sharedTokens(request.Work.Parts))
+		s.seen = now
+		next := p.consider(now, s, request, keeper, kept)
+		next.servers = best.servers + 1
+		if best.server == nil || next.before(best, enough) {
+			best = next
 		}
-		wait := s.wait(request.Work.Prompt - cached)
-		if memory := request.Service.Engine; memory != nil && memory.Memory > 0 {
-			if s.total().Memory+request.Work.Prompt-cached+request.Work.Output > memory.Memory {
-				wait += fullMemoryWait
-			}
+		best.servers = next.servers
+	}
+	return best
+}
+
+// before reports whether a candidate is better than another. Waits below what
+// is enough count alike.
+func (c candidate) before(other candidate, enough time.Duration) bool {
+	a, b := max(c.wait, enough)+c.price, max(other.wait, enough)+other.price
+	if a != b {
+		return a < b
+	}
+	if c.wait != other.wait {
+		return c.wait < other.wait
+	}
+	return c.server.hash < other.server.hash
+}
+
+// consider predicts how one server would serve a request, with a copy of what
+// the keeper has of its prompt if that helps.
+func (p *Placer) consider(now time.Time, s *server, request Request, keeper *server, kept int64) candidate {
+	own := s.cache.longest(request.Work.Parts)
+	if s == keeper {
+		own = max(own, kept)
+	}
+	next := candidate{server: s, cached: own}
+	engine := request.Service.Engine
+	if missing := kept - own; keeper != nil && missing >= copyLeast {
+		if engine != nil && engine.Moves {
+			next.cached, next.source = kept, keeper
+			next.price = time.Duration(missing) * copyPrice
+			next.wait = copyTime
+		} else {
+			next.price = time.Duration(missing) * readPrice
+		}
+	}
+	next.wait += s.wait(request.Work.Prompt - next.cached)
+	if engine == nil {
+		return next
+	}
+	if s.total().Memory+request.Work.Prompt-next.cached+request.Work.expected() > engine.Memory {
+		next.wait += fullMemoryWait
+	}
+	if end := next.wait + s.runTime(now, request.Work); end > request.Deadline.Sub(now) {
+		next.wait += end - request.Deadline.Sub(now)
+	}
+	return next
+}
+
+// runTime predicts how long the output of a request takes beside the batch and
+// the prompts that keep coming.
+func (s *server) runTime(now time.Time, work Work) time.Duration {
+	step := stepTime + time.Duration(s.total().Running+1)*slotTime
+	reading := (s.pace.rate(now) + s.others.Pace) / (readTokens * 1000)
+	free := 1 - min(reading, mostReading)
+	return time.Duration(float64(work.expected()) * float64(step) / free * s.speed)
+}
+
+// mostReading bounds the part of an engine's time that is taken as spent on
+// prompts; decoding always gets a part.
+const mostReading = 0.85
+
+// keeper returns the server that is expected to keep the most of a prompt, and
+// how much: one that this instance sent it to lately, or the one that rendezvous
+// hashing gives its last shared part.
+func (p *Placer) keeper(now time.Time, request Request) (best *server, kept int64) {
+	parts := request.Work.Parts
+	if len(parts) < 2 {
+		return nil, 0
+	}
+	for _, s := range p.servers {
+		if s.Service != request.Service.Name || !p.usable(now, s) {
+			continue
 		}
-		if best.server == nil || wait < best.wait || wait == best.wait && s.hash < best.server.hash {
-			best.server, best.wait, best.cached = s, wait, cached
+		if own := s.cache.longest(parts); own > kept || own == kept && best != nil && s.hash < best.hash {
+			best, kept = s, own
 		}
 	}
-	return best
+	if shared := sharedTokens(parts); kept < shared {
+		if home := p.affine(now, request); home != nil {
+			return home, shared
+		}
+	}
+	return best, kept
 }
 
 // mayWarm reports whether a cold server may get a request from this instance.
