replicator: accepted state is shown at once after a restart; elections twice as fast; starts hold requests

Change: the commit index is synced with the term; a store applies up to it at start. Election timeout 600 ms for self-managed groups, half of that after a start. An instance that started less than 2.4 s ago waits for what it lacks. TestAcceptedStateIsShownAtStart.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -47,6 +47,9 @@
 
 // Times of the replicated group.
 const (
+	// electionTimeout is the shortest time without a leader's word before an
+	// election: some round trips between regions, and a few lost messages.
+	electionTimeout = 600 * time.Millisecond
 	// diskRetry is the pause before a refused write is tried again.
 	diskRetry = 200 * time.Millisecond
 	// callTimeout bounds one call between control instances. It is under the
@@ -116,7 +119,7 @@
 	}
 	c.couriers = newCouriers(c.settings.PeerAddress.String(), c.identity.Store, c.client)
 	c.group, err = replicator.Open(c.identity, groupName, c.machine, c.couriers,
-		replicator.WithVoters(2*c.settings.DiskLosses+1))
+		replicator.WithVoters(2*c.settings.DiskLosses+1), replicator.WithElectionTimeout(electionTimeout))
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/controller/member.go
+++ b/internal/controller/member.go
@@ -22,7 +22,7 @@
 	joinInterval = 300 * time.Millisecond
 	// leaderless is how long a member may know no leader before it asks to be
 	// let in again: it may have been dropped while it was cut off.
-	leaderless = 2500 * time.Millisecond
+	leaderless = 2 * time.Second
 )
 
 // firstStore is the identity of the first disk of a seed. Every seed knows it of
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -37,6 +37,7 @@
 	port     *beaconer.Port
 	self     beaconer.Instance
 	view     atomic.Pointer[definer.View]
+	started  time.Time
 
 	mu        sync.Mutex
 	state     beaconer.State
@@ -73,7 +74,7 @@
 func New(settings loader.Entry, decode controller.Decoder, client *messenger.Client, port *beaconer.Port) *Follower {
 	f := &Follower{
 		settings: settings, decode: decode, client: client, port: port,
-		state: beaconer.StateStarting, sources: map[string]*source{}, instances: map[string]instance{},
+		started: time.Now(), state: beaconer.StateStarting, sources: map[string]*source{}, instances: map[string]instance{},
 	}
 	f.self = beaconer.Instance{
 		Name: settings.Name, Region: settings.Region, FailureDomain: settings.FailureDomain,
@@ -104,6 +105,16 @@
 	return f.state == beaconer.StateReady
 }
 
+// settleTime is how long after its start an instance may still lack what others
+// know: two periods of the servers' heartbeats.
+const settleTime = 2400 * time.Millisecond
+
+// Settling reports whether this instance has started so lately that it may not
+// have heard of all that there is.
+func (f *Follower) Settling() bool {
+	return time.Since(f.started) < settleTime
+}
+
 // settle makes a starting instance ready once it has a definition and has heard
 // of the servers. The lock must be held.
 func (f *Follower) settle() {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -40,7 +40,11 @@
 		}
 		request.ID = f.nextID.Add(1)
 		request.Started = out.started
-		decision := f.fleet.Place(request)
+		var decision placer.Decision
+		f.settle(ctx, func() bool {
+			decision = f.fleet.Place(request)
+			return decision.Refused != placer.ReasonNoServer
+		})
 		if decision.Refused != "" {
 			return f.unplaced(ctx, out, decision)
 		}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -118,6 +118,9 @@
 // Fleet answers what a call needs to know, and takes note of what becomes of it.
 type Fleet interface {
 	View() *definer.View
+	// Settling reports whether this instance has started so lately that it may
+	// not have heard of all that there is.
+	Settling() bool
 	Region() string
 	Place(request placer.Request) placer.Decision
 	Began(id uint64)
@@ -209,6 +212,7 @@
 
 // serve takes a call through the checks, the quota and the attempts.
 func (f *Forwarder) serve(w http.ResponseWriter, call *Call) *Refusal {
+	f.settle(call.Request.Context(), func() bool { return f.fleet.View() != nil })
 	view := f.fleet.View()
 	if view == nil {
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no-definition", RetryAfter: time.Second}
@@ -227,6 +231,22 @@
 	return f.run(w, call)
 }
 
+// settlePause is the time between two looks at what a starting instance knows.
+const settlePause = 20 * time.Millisecond
+
+// settle waits, while this instance has just started, until a condition holds:
+// what a request needs is most likely on its way.
+func (f *Forwarder) settle(ctx context.Context, holds func() bool) {
+	for !holds() && f.fleet.Settling() && ctx.Err() == nil {
+		timer := time.NewTimer(settlePause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
 // stoppingRetry is when to come back to another instance while this one stops.
 const stoppingRetry = 50 * time.Millisecond
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -76,6 +76,7 @@
 
 func (f *testFleet) View() *definer.View { return f.view }
 func (f *testFleet) Region() string      { return "north" }
+func (f *testFleet) Settling() bool      { return false }
 func (f *testFleet) Began(uint64)        {}
 
 func (f *testFleet) Place(request placer.Request) placer.Decision {
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -13,7 +13,7 @@
 	kind := MessagePreVote
 	if !preVote {
 		kind = MessageVote
-		m.state = HardState{Term: term, Vote: m.id}
+		m.state.Term, m.state.Vote = term, m.id
 		m.persistState()
 	}
 	for _, voter := range m.voters() {
@@ -92,7 +92,7 @@
 // follow moves to a term as a follower.
 func (m *Model) follow(term Term, leader StoreID) {
 	if term > m.state.Term {
-		m.state = HardState{Term: term}
+		m.state.Term, m.state.Vote = term, ""
 		m.persistState()
 	}
 	if m.role == Leader {
--- a/internal/replicator/group.go
+++ b/internal/replicator/group.go
@@ -106,6 +106,9 @@
 		terms:     map[uint64]Term{},
 		changed:   make(chan struct{}),
 	}
+	for _, entry := range group.model.Accepted() {
+		group.apply(entry)
+	}
 	group.status = group.model.Status()
 	return group, nil
 }
--- a/internal/replicator/leader.go
+++ b/internal/replicator/leader.go
@@ -181,6 +181,10 @@
 	m.commit = index
 	entries := m.log.slice(m.applied, m.commit)
 	m.applied = m.commit
+	if slices.ContainsFunc(entries, func(entry Entry) bool { return entry.Kind == KindData }) {
+		m.state.Commit = m.commit
+		m.persistState()
+	}
 	m.emit(Apply{Entries: entries})
 	m.leaveIfRemoved()
 }
--- a/internal/replicator/manage_test.go
+++ b/internal/replicator/manage_test.go
@@ -102,7 +102,7 @@
 			fresh := c.add(fmt.Sprintf("new-%d", round))
 			c.live(catchUp)
 			gone.down = true
-			c.live(voterSilence*60 + catchUp)
+			c.live(int(voterSilence/(20*time.Millisecond)) + catchUp)
 			leader := c.awaitLeader()
 			voters := c.votersOf(leader)
 			assert.Assert(t, voters[fresh.name], "planned %t: %v", planned, voters)
@@ -202,3 +202,18 @@
 	assert.Assert(t, !full.down)
 	assert.Equal(t, c.awaitLeader().machine.value, uint64(2))
 }
+
+// TestAcceptedStateIsShownAtStart restarts all stores: each shows what was
+// accepted before any of them leads.
+func TestAcceptedStateIsShownAtStart(t *testing.T) {
+	c := newManagedCluster(t, 5, 3)
+	c.accept(42)
+	c.run(30)
+	for _, n := range c.nodes {
+		n.disk.Crash()
+		c.start(n)
+		assert.Equal(t, n.machine.value, uint64(42))
+		assert.Assert(t, n.group.Status().Role != Leader)
+	}
+	c.accept(43)
+}
--- a/internal/replicator/members.go
+++ b/internal/replicator/members.go
@@ -16,11 +16,11 @@
 // Times of members that do not answer.
 const (
 	// standbySilence is how long a store without a vote may be silent before
-	// it is dropped, in election timeouts.
-	standbySilence = 5
+	// it is dropped.
+	standbySilence = 6 * time.Second
 	// voterSilence is how long a voter may be silent before a standby takes
-	// its place, in election timeouts. It outlasts an election and a restart.
-	voterSilence = 3
+	// its place. It outlasts an election and a restart.
+	voterSilence = 3600 * time.Millisecond
 )
 
 // admit gives a name a new store, without a vote. It gets its vote when it
@@ -129,11 +129,11 @@
 }
 
 func (m *Model) silentVoter(member Member) bool {
-	return member.Voter && m.silentFor(member.Store) > voterSilence*m.election
+	return member.Voter && m.silentFor(member.Store) > voterSilence
 }
 
 func (m *Model) silentStandby(member Member) bool {
-	return !member.Voter && m.silentFor(member.Store) > standbySilence*m.election
+	return !member.Voter && m.silentFor(member.Store) > standbySilence
 }
 
 // silentFor returns how long this leader has not heard a member.
--- a/internal/replicator/model.go
+++ b/internal/replicator/model.go
@@ -136,9 +136,12 @@
 	for _, option := range options {
 		option(m)
 	}
+	m.commit = min(max(m.commit, stored.State.Commit), m.log.last())
+	m.applied = m.commit
 	m.now = m.clock()
 	m.heard = m.now
 	m.drawTimeout()
+	m.timeout /= 2 // most likely all stores have just started
 	return m
 }
 
@@ -190,6 +193,11 @@
 	}
 }
 
+// Accepted returns the entries after the snapshot that are known to be accepted.
+func (m *Model) Accepted() []Entry {
+	return m.log.slice(m.log.snapshot.Index, m.commit)
+}
+
 // Snapshot returns a snapshot of all that was applied, with the state
 // machine's data.
 func (m *Model) Snapshot(data []byte) Snapshot {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -66,6 +66,9 @@
 type HardState struct {
 	Term Term    `cbor:"term"`
 	Vote StoreID `cbor:"vote"`
+	// Commit is the last entry that is known to be accepted. A store that starts
+	// again shows the state up to it at once, before there is a leader.
+	Commit Index `cbor:"commit,omitempty"`
 }
 
 // Snapshot stands for all entries up to an index.
