messenger, apportioner: lost first packets cost 0.3 s, quotas of a restarted fleet are half full

Change: dials between processes last 0.3 s and are repeated. New buckets are half full; a newcomer takes over lower levels from others' beacons. Found by the partition test: what an instance spent before it counted as silent was forgotten.

--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -55,10 +55,16 @@
 	heard       time.Time
 	spent       map[string]float64
 	pace        map[string]float64
+	// assumed is what it was taken to have spent when it fell silent.
+	assumed map[string]float64
 }
 
-// Set replaces the quotas. New buckets begin empty: what was spent before this
-// instance knew of them is unknown.
+// startShare of a bucket is there when it is new: after a restart of the whole
+// fleet nobody knows what was spent before, and an empty bucket would refuse what
+// is within the quota. Where others know better, their word counts: see Hear.
+const startShare = 0.5
+
+// Set replaces the quotas.
 func (a *Apportioner) Set(now time.Time, quotas map[string]Quota) {
 	if a.buckets == nil {
 		a.buckets = map[string]*bucket{}
@@ -72,7 +78,7 @@
 		}
 		b, known := a.buckets[name]
 		if !known {
-			b = &bucket{filled: now}
+			b = &bucket{filled: now, level: startShare * quota.Burst}
 			a.buckets[name] = b
 		}
 		b.Quota = quota
@@ -102,11 +108,26 @@
 			delete(a.peers, name)
 		case age > freshness:
 			count++
+			a.assume(p)
 		}
 	}
 	return count
 }
 
+// assume debits what an instance that has just fallen silent has most likely
+// spent since it was last heard.
+func (a *Apportioner) assume(p *peer) {
+	if p.assumed != nil {
+		return
+	}
+	p.assumed = map[string]float64{}
+	for name, b := range a.buckets {
+		amount := min(p.pace[name], b.Rate) * freshness.Seconds()
+		p.assumed[name] = amount
+		b.level -= amount
+	}
+}
+
 // Take spends a cost, or returns when to come back. A cost above the whole
 // burst passes once the bucket is full, and leaves it in debt.
 func (a *Apportioner) Take(now time.Time, workspace string, cost float64) (wait time.Duration, ok bool) {
@@ -158,9 +179,19 @@
 	return maps.Clone(a.spent)
 }
 
-// Hear takes in what another instance has spent since it started. The first
-// word of an incarnation sets the point from which it is counted.
-func (a *Apportioner) Hear(now time.Time, name string, incarnation int64, spent map[string]float64) {
+// Levels returns what this instance believes to be left.
+func (a *Apportioner) Levels() map[string]float64 {
+	levels := make(map[string]float64, len(a.buckets))
+	for name, b := range a.buckets {
+		levels[name] = b.level
+	}
+	return levels
+}
+
+// Hear takes in what another instance has spent since it started, and what it
+// believes to be left. The first word of an incarnation sets the point from which
+// its spending is counted; what it believes then is taken over if it is less.
+func (a *Apportioner) Hear(now time.Time, name string, incarnation int64, spent, levels map[string]float64) {
 	if a.peers == nil {
 		a.peers = map[string]*peer{}
 	}
@@ -171,13 +202,18 @@
 	}
 	if !known || incarnation > p.incarnation {
 		a.peers[name] = &peer{incarnation: incarnation, heard: now, spent: maps.Clone(spent), pace: map[string]float64{}}
+		for workspace, level := range levels {
+			if b, bounded := a.buckets[workspace]; bounded {
+				b.level = min(b.level, level)
+			}
+		}
 		return
 	}
 	elapsed := now.Sub(p.heard).Seconds()
 	for workspace, total := range spent {
 		a.debit(p, workspace, total-p.spent[workspace], elapsed)
 	}
-	p.spent, p.heard = maps.Clone(spent), now
+	p.spent, p.heard, p.assumed = maps.Clone(spent), now, nil
 }
 
 func (a *Apportioner) debit(p *peer, workspace string, amount, elapsed float64) {
@@ -190,7 +226,7 @@
 	}
 	if elapsed > freshness.Seconds() {
 		// Its even share was debited while it was silent.
-		covered := b.Rate / float64(len(a.peers)+1) * (elapsed - freshness.Seconds())
+		covered := b.Rate/float64(len(a.peers)+1)*(elapsed-freshness.Seconds()) + p.assumed[workspace]
 		amount = max(amount-covered, 0)
 	}
 	b.level = min(b.level-amount, b.Burst)
--- a/internal/beaconer/beaconer.go
+++ b/internal/beaconer/beaconer.go
@@ -39,6 +39,8 @@
 	// Spent is what the instance has spent of each workspace's quota since it
 	// started.
 	Spent map[string]float64 `cbor:"x,omitempty"`
+	// Levels is what it believes to be left of them.
+	Levels map[string]float64 `cbor:"e,omitempty"`
 	// Loads is the work that it has at each backend server of its region.
 	Loads map[string]placer.Load `cbor:"l,omitempty"`
 	// Services is what its region can do.
--- a/internal/follower/beacons.go
+++ b/internal/follower/beacons.go
@@ -64,7 +64,7 @@
 	now := time.Now()
 	far := beaconer.Beacon{Instance: f.self, State: f.state, Sequence: f.sequence}
 	control := far
-	far.Spent = f.quotas.Spent()
+	far.Spent, far.Levels = f.quotas.Spent(), f.quotas.Levels()
 	far.Services = f.placer.Summaries(now)
 	near := far
 	near.Services = nil
@@ -101,7 +101,7 @@
 		return
 	}
 	f.instances[beacon.Name] = instance{Instance: beacon.Instance, state: beacon.State, heard: now}
-	f.quotas.Hear(now, beacon.Name, beacon.Incarnation, beacon.Spent)
+	f.quotas.Hear(now, beacon.Name, beacon.Incarnation, beacon.Spent, beacon.Levels)
 	if beacon.Region == f.self.Region {
 		f.placer.HearLoads(now, beacon.Name, beacon.Loads)
 		return
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -20,7 +20,7 @@
 	// between regions.
 	watchTimeout = 1700 * time.Millisecond
 	// watchPause is the pause after a watch that failed.
-	watchPause = 150 * time.Millisecond
+	watchPause = 100 * time.Millisecond
 	// reviewInterval is the time between two looks at whom to follow and which
 	// servers have fallen silent.
 	reviewInterval = 200 * time.Millisecond
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -25,8 +25,9 @@
 	// unacknowledged by a server of this region, and by an instance of another.
 	serverSilence = 1500 * time.Millisecond
 	relaySilence  = 2500 * time.Millisecond
-	// dialTimeout bounds the opening of a connection.
-	dialTimeout = 800 * time.Millisecond
+	// dialTimeout bounds the opening of a connection: a lost first packet is
+	// repeated by the kernel only after a second.
+	dialTimeout = 350 * time.Millisecond
 	// idleTimeout is how long a connection is kept unused. Servers close theirs
 	// after some seconds; a request that meets such a close is lost.
 	idleTimeout = 3 * time.Second
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -177,7 +177,11 @@
 }
 
 func (c *Client) dial(ctx context.Context, to Endpoint, protocol string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	limit := dialTimeout
+	if c.plain != nil {
+		limit = plainDialTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	raw, err := c.dialRaw(ctx, "tcp", to.Address.String())
 	if err != nil {
--- a/internal/messenger/plain.go
+++ b/internal/messenger/plain.go
@@ -20,6 +20,11 @@
 // no reset.
 const silenceLimit = 3 * time.Second
 
+// plainDialTimeout bounds the opening of a link without TLS: two round trips
+// between regions. When the first packet is lost, as while a machine comes up,
+// dialing anew is faster than the kernel, which repeats it after a second.
+const plainDialTimeout = 300 * time.Millisecond
+
 // maxGreeting bounds a greeting, in bytes.
 const maxGreeting = 1 << 10
 
