forwarder: retries up to what the fleet is allowed

Change: the limit comes from the settings; half of the share is earned, the other half can be saved over one window, with this instance's part of the slack. Relayed requests are counted once.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -255,6 +255,13 @@
 // be relayed to. Beacons between regions come every 400 ms.
 const instanceSilence = 2 * time.Second
 
+// Instances returns how many entry instances are known, this one among them.
+func (f *Follower) Instances() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.instances) + 1
+}
+
 // Relay returns the relay address of a ready entry instance of a region, drawn
 // among those heard lately.
 func (f *Follower) Relay(region string) (netip.AddrPort, bool) {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -31,7 +31,9 @@
 
 // attempt makes attempts until the caller has an answer or none may follow.
 func (f *Forwarder) attempt(ctx context.Context, w http.ResponseWriter, call *Call) *Refusal {
-	f.retries.earn(call.Service.Name)
+	if !call.Relayed { // it was counted where the caller asked
+		f.retries.earn(time.Now(), call.Service.Name, f.fleet.Instances())
+	}
 	out := &output{writer: w, call: call, forwarder: f, lastEvent: call.LastEvent}
 	request := f.placement(call)
 	for try := 0; ; try++ {
@@ -95,7 +97,7 @@
 	if try >= mostTries || out.ran >= max(call.Route.Attempts, 1) {
 		return false
 	}
-	if !f.retries.spend(call.Service.Name) {
+	if !f.retries.spend(time.Now(), call.Service.Name, f.fleet.Instances()) {
 		f.counters.Count("retries-without-budget")
 		return false
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -128,6 +128,8 @@
 	Spend(workspace string, cost float64) (time.Duration, bool)
 	Refund(workspace string, cost float64)
 	Relay(region string) (netip.AddrPort, bool)
+	// Instances is how many entry instances are known, this one among them.
+	Instances() int
 }
 
 // Counters counts what the forwarder does.
@@ -157,11 +159,11 @@
 }
 
 // New returns a forwarder.
-func New(dialect Dialect, fleet Fleet, counters Counters) *Forwarder {
+func New(dialect Dialect, fleet Fleet, counters Counters, retries RetryLimit) *Forwarder {
 	return &Forwarder{
 		dialect: dialect, fleet: fleet, counters: counters,
 		servers: newTransport(serverSilence), relays: newTransport(relaySilence),
-		bodies: gauge{room: mostBodies},
+		bodies: gauge{room: mostBodies}, retries: budgets{limit: retries},
 	}
 }
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -77,6 +77,7 @@
 func (f *testFleet) View() *definer.View { return f.view }
 func (f *testFleet) Region() string      { return "north" }
 func (f *testFleet) Settling() bool      { return false }
+func (f *testFleet) Instances() int      { return 2 }
 func (f *testFleet) Began(uint64)        {}
 
 func (f *testFleet) Place(request placer.Request) placer.Decision {
@@ -123,6 +124,8 @@
 	return f.relay, f.relay.IsValid()
 }
 
+var retryLimit = RetryLimit{Share: 0.2, Slack: 50, Window: 10 * time.Second}
+
 // path is a gateway before servers that behave as told.
 type path struct {
 	t     *testing.T
@@ -157,7 +160,7 @@
 			Name: fmt.Sprintf("server-%d", i), Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
 		})
 	}
-	p.front = httptest.NewServer(New(testDialect{}, p.fleet, measurer.New()))
+	p.front = httptest.NewServer(New(testDialect{}, p.fleet, measurer.New(), retryLimit))
 	t.Cleanup(p.front.Close)
 	return p
 }
@@ -420,7 +423,7 @@
 // relay to it.
 func newRelay(t *testing.T, p *path, handlers ...http.HandlerFunc) *path {
 	there := newPath(t, definer.Route{Kind: definer.KindOnce}, handlers...)
-	relays := httptest.NewServer(New(testDialect{}, there.fleet, measurer.New()).Relays())
+	relays := httptest.NewServer(New(testDialect{}, there.fleet, measurer.New(), retryLimit).Relays())
 	t.Cleanup(relays.Close)
 	p.fleet.away = "south"
 	p.fleet.relay = netip.MustParseAddrPort(relays.Listener.Addr().String())
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -55,6 +55,6 @@
 	klog.InfoS("request", "id", call.ID, "outcome", outcome, "status", t.status, "reason", reason, "note", t.note,
 		"route", route, "workspace", workspace, "version", t.version, "relayed", call.Relayed, "server", t.server,
 		"region", t.region, "usable", t.usable, "attempts", t.attempts, "predicted", t.wait, "cached", t.cached,
-		"prompt", call.Work.Prompt, "first", t.first, "took", took, "left", left,
+		"prompt", call.Work.Prompt, "expected", call.Work.Expected, "first", t.first, "took", took, "left", left,
 		"retry-after", retryAfter, "left-out", leftOut)
 }
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -63,7 +63,9 @@
 	counters := measurer.New()
 	e := &Entry{settings: settings}
 	e.follower = follower.New(settings, controller.Decoder(dialect.Decode), client, port)
-	e.forwarder = forwarder.New(dialect, e.follower, counters)
+	e.forwarder = forwarder.New(dialect, e.follower, counters, forwarder.RetryLimit{
+		Share: settings.RetryShare, Slack: settings.RetrySlack, Window: settings.RetryWindow,
+	})
 
 	actors := &conductor.Actors{}
 	prepare(actors, settings.Fleet)
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -91,7 +91,12 @@
 	// takes them.
 	CallerAddress netip.AddrPort `yaml:"caller-address" validate:"required"`
 	ReadyAddress  netip.AddrPort `yaml:"ready-address" validate:"required"`
-	Fleet         `yaml:",inline"`
+	// RetryShare of the requests for a service may be sent again by the whole
+	// fleet in any RetryWindow, and RetrySlack more.
+	RetryShare  float64       `yaml:"retry-share" validate:"gte=0,lte=1"`
+	RetrySlack  float64       `yaml:"retry-slack" validate:"gte=0"`
+	RetryWindow time.Duration `yaml:"retry-window" validate:"gte=0"`
+	Fleet       `yaml:",inline"`
 }
 
 // Control is the settings file of boragehead-control.
