placer: memory counts whole prompts; the delay for running answers is priced

Change: a request holds its prompt but for the first part; 0.8 of the memory may be taken; reading beside running answers and slow answers cost.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -47,6 +47,16 @@
 	return w.Expected
 }
 
+// memory returns the tokens that a running request keeps from being dropped. The
+// first part of a prompt is shared by so many that it hardly counts.
+func (w Work) memory() int64 {
+	held := w.Prompt + w.expected()
+	if len(w.Parts) > 1 {
+		held -= w.Parts[0].Tokens
+	}
+	return held
+}
+
 // Request is what a placement depends on.
 type Request struct {
 	ID      uint64
@@ -259,7 +269,7 @@
 	}
 	s := best.server
 	unread := request.Work.Prompt - best.cached
-	load := Load{Running: 1, Prefill: unread, Memory: unread + request.Work.expected()}
+	load := Load{Running: 1, Prefill: unread, Memory: request.Work.memory()}
 	s.pace.add(now, float64(unread))
 	s.own.add(load)
 	s.sent = now
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -54,6 +54,9 @@
 	// runTime is how long a slot is taken on average; it tells how soon one
 	// of a full batch comes free.
 	runTime = 3 * time.Second
+	// memoryShare of an engine's memory may be taken by running requests: when it
+	// runs out, the engine drops some of them and reads them again.
+	memoryShare = 0.8
 	// fullMemoryWait is what a prediction adds when the memory is taken.
 	fullMemoryWait = time.Second
 	// plainTime is one request of a plain service.
@@ -235,6 +238,10 @@
 	copyLeast = 256
 	// copyTime is what a copy takes beside the reading.
 	copyTime = 12 * time.Millisecond
+	// harmShare of the delay that reading a prompt means for each running answer
+	// counts, and slowShare of the time that the own answer takes.
+	harmShare = 0.03
+	slowShare = 0.04
 )
 
 // bestLocal returns the server of this region that would serve a request best:
@@ -299,7 +306,9 @@
 	if engine == nil {
 		return next
 	}
-	if s.total().Memory+request.Work.Prompt-next.cached+request.Work.expected() > engine.Memory {
+	next.price += time.Duration(harmShare*float64(s.total().Running)*float64(readTime(request.Work.Prompt-next.cached, 0))) +
+		time.Duration(slowShare*float64(s.runTime(now, request.Work)))
+	if held := float64(s.total().Memory + request.Work.memory()); held > memoryShare*float64(engine.Memory) {
 		next.wait += fullMemoryWait
 	}
 	if end := next.wait + s.runTime(now, request.Work); end > request.Deadline.Sub(now) {
