follower: the word of a server ages; the conditions of servers are logged

Found with the new log lines. Change: what a control instance said is kept with the time that it was taken; a server that should keep a prompt, but was never sent it by this instance, copies it from one that was. TestColdServersWarmUp failed before.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -51,6 +51,8 @@
 	quotas    apportioner.Apportioner
 	sequence  uint64
 	supplied  bool
+	// conditions of the servers when they were last logged.
+	conditions map[string]string
 }
 
 // source is one control instance that is followed.
@@ -59,10 +61,23 @@
 	servers uint64
 	places  uint64
 	heard   time.Time
-	said    map[string]registrar.Server
+	said    map[string]word
 	cancel  func()
 }
 
+// word is what a control instance said of a server, and when.
+type word struct {
+	registrar.Server
+	taken time.Time
+}
+
+// at returns the word with its age as of a later time.
+func (w word) at(now time.Time) registrar.Server {
+	said := w.Server
+	said.Age += now.Sub(w.taken)
+	return said
+}
+
 // instance is another entry instance.
 type instance struct {
 	beaconer.Instance
@@ -182,7 +197,8 @@
 	heard := map[string]bool{}
 	for _, source := range f.sources {
 		contact := now.Sub(source.heard) < sourceContact
-		for name, said := range source.said {
+		for name, taken := range source.said {
+			said := taken.at(now)
 			if best, known := newest[name]; !known || said.Newer(best) {
 				newest[name] = said
 			}
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -11,7 +11,6 @@
 	"github.com/boragehead/boragehead/internal/controller"
 	"github.com/boragehead/boragehead/internal/logger"
 	"github.com/boragehead/boragehead/internal/messenger"
-	"github.com/boragehead/boragehead/internal/registrar"
 )
 
 // Times of following.
@@ -61,6 +60,23 @@
 	}
 	f.learn(now)
 	f.settle()
+	f.report(now)
+}
+
+// report logs which servers have begun or ceased to get work, and why.
+func (f *Follower) report(now time.Time) {
+	conditions := f.placer.Conditions(now)
+	for name, condition := range conditions {
+		if before := f.conditions[name]; before != condition {
+			klog.InfoS("server", "server", name, "condition", condition, "before", before, "index", f.index)
+		}
+	}
+	for name, before := range f.conditions {
+		if _, known := conditions[name]; !known {
+			klog.InfoS("server", "server", name, "condition", "forgotten", "before", before, "index", f.index)
+		}
+	}
+	f.conditions = conditions
 }
 
 func (f *Follower) follow(ctx context.Context, now time.Time, address string) {
@@ -70,7 +86,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	s := &source{cancel: cancel, heard: now.Add(-sourceContact), said: map[string]registrar.Server{}}
+	s := &source{cancel: cancel, heard: now.Add(-sourceContact), said: map[string]word{}}
 	f.sources[address] = s
 	go f.watch(ctx, messenger.Endpoint{Name: address, Address: parsed}, s)
 }
@@ -130,12 +146,12 @@
 func (f *Follower) takeServers(now time.Time, s *source, news controller.News) {
 	if news.Epoch != s.epoch {
 		s.epoch = news.Epoch
-		s.said = map[string]registrar.Server{}
+		s.said = map[string]word{}
 	}
 	s.servers, s.places = news.ServersRevision, news.PlacesRevision
 	for _, said := range news.Servers {
 		if known, exists := s.said[said.Name]; !exists || !known.Newer(said) {
-			s.said[said.Name] = said
+			s.said[said.Name] = word{Server: said, taken: now}
 		}
 	}
 	if len(news.Servers) > 0 {
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -214,6 +214,29 @@
 	return s.State == registrar.StateReady && !s.Silent && !p.closed[s.FailureDomain] && !now.Before(s.ejectedUntil)
 }
 
+// Conditions tells of every server of this region whether it gets work, and why
+// not: ready, cold, ejected, closed, silent, leaving or gone.
+func (p *Placer) Conditions(now time.Time) map[string]string {
+	conditions := make(map[string]string, len(p.servers))
+	for name, s := range p.servers {
+		switch {
+		case s.State != registrar.StateReady:
+			conditions[name] = s.State.String()
+		case s.Silent:
+			conditions[name] = "silent"
+		case p.closed[s.FailureDomain]:
+			conditions[name] = "closed"
+		case now.Before(s.ejectedUntil):
+			conditions[name] = "ejected"
+		case s.cold(now):
+			conditions[name] = "cold"
+		default:
+			conditions[name] = "ready"
+		}
+	}
+	return conditions
+}
+
 func (p *Placer) mayEject(now time.Time, failing *server) bool {
 	all, out := 0, 1
 	for _, s := range p.servers {
@@ -288,11 +311,15 @@
 // the keeper has of its prompt if that helps.
 func (p *Placer) consider(now time.Time, s *server, request Request, keeper *server, kept int64) candidate {
 	own := s.cache.longest(request.Work.Parts)
+	engine := request.Service.Engine
+	next := candidate{server: s}
 	if s == keeper {
+		if other, known := p.longest(now, request); engine != nil && engine.Moves && known-own >= copyLeast {
+			next.source = other // what the keeper should have may never have been read there
+		}
 		own = max(own, kept)
 	}
-	next := candidate{server: s, cached: own}
-	engine := request.Service.Engine
+	next.cached = own
 	if missing := kept - own; keeper != nil && missing >= copyLeast {
 		if engine != nil && engine.Moves {
 			next.cached, next.source = kept, keeper
@@ -338,19 +365,27 @@
 	if len(parts) < 2 {
 		return nil, 0
 	}
+	best, kept = p.longest(now, request)
+	if shared := sharedTokens(parts); kept < shared {
+		if home := p.affine(now, request); home != nil {
+			return home, shared
+		}
+	}
+	return best, kept
+}
+
+// longest returns the server that this instance has sent the most of a prompt
+// lately, and how much.
+func (p *Placer) longest(now time.Time, request Request) (best *server, kept int64) {
 	for _, s := range p.servers {
 		if s.Service != request.Service.Name || !p.usable(now, s) {
 			continue
 		}
-		if own := s.cache.longest(parts); own > kept || own == kept && best != nil && s.hash < best.hash {
+		own := s.cache.longest(request.Work.Parts)
+		if own > kept || own > 0 && own == kept && s.hash < best.hash {
 			best, kept = s, own
 		}
 	}
-	if shared := sharedTokens(parts); kept < shared {
-		if home := p.affine(now, request); home != nil {
-			return home, shared
-		}
-	}
 	return best, kept
 }
 
