controller, launcher: callers stay in a region whose instances stop, which take what they can finish

An instance refused everything from 3 s after its signal on. Change: instances that stop come before regions that no bound route allows; they take a request if 2.5 times its predicted end lies before their own.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/gravitational/trace"
 	"gotest.tools/v3/assert"
 
@@ -216,6 +217,8 @@
 	f.reads(f.controls[2], "7")
 }
 
+var cmpAddrPort = cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
+
 func instance(name, region, domain string) beaconer.Beacon {
 	number := byte(len(name) + int(name[0]))
 	return beaconer.Beacon{
@@ -244,11 +247,13 @@
 	}
 	stopping := instance("e", "east", "e1")
 	stopping.State = beaconer.StateStopping
+	names[stopping.Callers] = "e"
 	c.Hear(now, stopping)
 	tests := []struct{ domain, region, want string }{
 		{"n1", "north", "a"},
 		{"n3", "north", "a b"},
 		{"e1", "east", "d"},
+		{"x1", "none", "d"},
 	}
 	for _, test := range tests {
 		var got []string
@@ -257,6 +262,10 @@
 		}
 		assert.Equal(t, strings.Join(got, " "), test.want, "%v", test)
 	}
+	gone := instance("d", "west", "w1")
+	gone.State, gone.Sequence = beaconer.StateStopping, 2
+	c.Hear(now, gone)
+	assert.DeepEqual(t, c.Resolve("e1", "east"), []netip.AddrPort{stopping.Callers}, cmpAddrPort)
 	c.places.expire(now.Add(instanceSilence + time.Second))
 	assert.Equal(t, len(c.Resolve("n1", "north")), 0)
 }
--- a/internal/controller/places.go
+++ b/internal/controller/places.go
@@ -127,7 +127,8 @@
 // Resolve returns the callers' addresses of the entry instances that a caller
 // in a failure domain and region should use: the nearest that are ready. Where
 // the caller's region has none, it is led to the region that most of the bound
-// routes allow.
+// routes allow, or, when none does, to instances of its own region that stop:
+// they take what they can still finish.
 func (c *Controller) Resolve(failureDomain, region string) []netip.AddrPort {
 	allowed := c.allowed()
 	c.mu.Lock()
@@ -135,13 +136,10 @@
 	var best rank
 	var named []heardInstance
 	for _, instance := range c.places.instances {
-		if instance.state != beaconer.StateReady {
+		at, usable := c.rankOf(instance, failureDomain, region, allowed)
+		if !usable {
 			continue
 		}
-		at := rank{near: nearness(instance, failureDomain, region)}
-		if at.near == 0 {
-			at.allowed = allowed[instance.Region]
-		}
 		switch order := at.compare(best); {
 		case order > 0 || len(named) == 0:
 			best, named = at, []heardInstance{instance}
@@ -157,6 +155,30 @@
 	return addresses
 }
 
+// rankOf orders an entry instance among those that a caller may be told.
+func (c *Controller) rankOf(instance heardInstance, failureDomain, region string, allowed map[string]int) (rank, bool) {
+	near := nearness(instance, failureDomain, region)
+	switch {
+	case instance.state == beaconer.StateReady && near > 0:
+		return rank{near: nearReady + near}, true
+	case instance.state == beaconer.StateReady && allowed[instance.Region] > 0:
+		return rank{near: farAllowed, allowed: allowed[instance.Region]}, true
+	case instance.state == beaconer.StateStopping && near > 0:
+		return rank{near: nearStopping}, true
+	case instance.state == beaconer.StateReady:
+		return rank{near: farOther}, true
+	}
+	return rank{}, false
+}
+
+// The order of what callers are told.
+const (
+	farOther = iota
+	nearStopping
+	farAllowed
+	nearReady
+)
+
 // rank orders entry instances for one caller; higher is better.
 type rank struct {
 	near    int
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -50,6 +50,10 @@
 		if decision.Refused != "" {
 			return f.unplaced(ctx, out, decision)
 		}
+		if try == 0 && !call.Relayed && !f.ends(decision) {
+			f.fleet.Done(request.ID, placer.Dropped)
+			return &Refusal{Status: http.StatusServiceUnavailable, Reason: "stopping", RetryAfter: stoppingRetry}
+		}
 		call.trail.note = ""
 		result := f.offer(ctx, out, request.ID, decision)
 		if result == answered {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -149,10 +149,10 @@
 	bodies   gauge
 	nextID   atomic.Uint64
 	active   atomic.Int64
-	// closing asks callers to close their connections; refusing turns new
-	// requests away.
-	closing  atomic.Bool
-	refusing atomic.Bool
+	// closing asks callers to close their connections.
+	closing atomic.Bool
+	// stopAt, unless nil, is when what is not finished will be cut.
+	stopAt atomic.Pointer[time.Time]
 
 	answered logger.Kind
 	refused  logger.Kind
@@ -175,9 +175,23 @@
 	f.closing.Store(true)
 }
 
-// TurnAway refuses new requests from now on.
-func (f *Forwarder) TurnAway() {
-	f.refusing.Store(true)
+// StopAt turns new requests away that may not be finished by a time.
+func (f *Forwarder) StopAt(end time.Time) {
+	f.stopAt.Store(&end)
+}
+
+// stopFactor is by how much a predicted end may be exceeded.
+const stopFactor = 2.5
+
+// ends reports whether a request that is placed now ends before this instance
+// does.
+func (f *Forwarder) ends(decision placer.Decision) bool {
+	stopAt := f.stopAt.Load()
+	if stopAt == nil {
+		return true
+	}
+	expected := max(decision.End, decision.Wait)
+	return decision.Region == "" && time.Duration(stopFactor*float64(expected)) < time.Until(*stopAt)
 }
 
 // Active returns how many requests are under way.
@@ -219,9 +233,6 @@
 	if view == nil {
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no-definition", RetryAfter: time.Second}
 	}
-	if f.refusing.Load() {
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "stopping", RetryAfter: stoppingRetry}
-	}
 	if refusal := check(view, call); refusal != nil {
 		return refusal
 	}
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -24,8 +24,8 @@
 // Times of a graceful shutdown, from its signal on.
 const (
 	defaultStopLimit = 8 * time.Second
-	// stopTurnAway is when new requests are turned away: what is taken until
-	// then can mostly still be finished.
+	// stopTurnAway is from when on new requests are taken only if they end well
+	// before this instance does.
 	stopTurnAway = 3 * time.Second
 	// stopLinger outlasts the directories that callers hold.
 	stopLinger = 4500 * time.Millisecond
@@ -88,8 +88,8 @@
 }
 
 // stop is the graceful shutdown: leave the directory, serve on while callers
-// still come, turn new requests away once they could not be finished, and end
-// when the last one has.
+// still come, turn new requests away that could not be finished, and end when
+// the last one has.
 func (e *Entry) stop(ctx context.Context) {
 	began := time.Now()
 	limit := cmp.Or(e.settings.StopLimit, defaultStopLimit) - stopReserve
@@ -99,7 +99,9 @@
 	e.follower.Stop()
 	e.forwarder.CloseConnections()
 	pause(ctx, stopTurnAway)
-	e.forwarder.TurnAway()
+	if deadline, bounded := ctx.Deadline(); bounded {
+		e.forwarder.StopAt(deadline)
+	}
 	for ctx.Err() == nil && (e.forwarder.Active() > 0 || time.Since(began) < stopLinger) {
 		pause(ctx, stopPoll)
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -98,6 +98,8 @@
 	// Wait is the predicted time to the first event; of a refusal, when to
 	// come back.
 	Wait time.Duration
+	// End is the predicted time to the last event, at a server of this region.
+	End time.Duration
 	// Cached is how much of the prompt the server is expected to keep, in
 	// tokens.
 	Cached int64
@@ -261,6 +263,8 @@
 	servers int
 	// price is what the choice costs beside the wait, in time.
 	price time.Duration
+	// end is the predicted time to the last event.
+	end time.Duration
 }
 
 func (p *Placer) assign(now time.Time, request Request, best candidate) Decision {
@@ -275,7 +279,7 @@
 	s.sent = now
 	s.cache.touch(request.Work.Parts, cacheTokens(request.Service))
 	p.running[request.ID] = &run{server: s.Name, load: load, started: now, wait: best.wait}
-	decision := Decision{Server: &s.Server, Wait: best.wait, Cached: best.cached, Servers: best.servers}
+	decision := Decision{Server: &s.Server, Wait: best.wait, End: best.end, Cached: best.cached, Servers: best.servers}
 	if best.source != nil {
 		decision.Source = &best.source.Server
 	}
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -331,6 +331,7 @@
 	}
 	next.wait += s.wait(request.Work.Prompt - next.cached)
 	if engine == nil {
+		next.end = next.wait
 		return next
 	}
 	next.price += time.Duration(harmShare*float64(s.total().Running)*float64(readTime(request.Work.Prompt-next.cached, 0))) +
@@ -338,8 +339,9 @@
 	if held := float64(s.total().Memory + request.Work.memory()); held > memoryShare*float64(engine.Memory) {
 		next.wait += fullMemoryWait
 	}
-	if end := next.wait + s.runTime(now, request.Work); end > request.Deadline.Sub(now) {
-		next.wait += end - request.Deadline.Sub(now)
+	next.end = next.wait + s.runTime(now, request.Work)
+	if late := next.end - request.Deadline.Sub(now); late > 0 {
+		next.wait += late
 	}
 	return next
 }
