placer: less urgent work is turned away first; one engine of a region reads few prompts

Change: a prediction may take 1.1 (most urgent) or 0.75 (others) of the time to the objective; the delay for running answers counts five times on one engine.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -90,7 +90,7 @@
 	}
 	return placer.Request{
 		Service: call.Service, Work: call.Work, Objective: objective, Deadline: call.Deadline,
-		Homes: call.Homes, Bound: call.Bound, Local: call.Relayed,
+		Homes: call.Homes, Bound: call.Bound, Local: call.Relayed, Urgency: call.Route.Priority,
 	}
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -65,6 +65,8 @@
 	// Objective is when the first event is due, and Deadline when all is over.
 	Objective time.Time
 	Deadline  time.Time
+	// Urgency ranks the route; 0 is the most urgent.
+	Urgency int
 	// Homes are the regions allowed, if Bound.
 	Homes []string
 	Bound bool
@@ -228,6 +230,10 @@
 		return 0
 	}
 	spare := request.Objective.Sub(now)
+	patience := urgentPatience
+	if request.Urgency > 0 {
+		patience = otherPatience
+	}
 	most := min(time.Duration(float64(spare)*patience), request.Deadline.Sub(now))
 	if wait <= most {
 		return 0
@@ -242,9 +248,12 @@
 	stayShare = 0.5
 	// leaveMargin is what another region must gain over this one.
 	leaveMargin = 100 * time.Millisecond
-	// patience is how far past the objective a prediction may lie, as a factor:
-	// predictions err, and a late answer is still worth something.
-	patience = 1.5
+	// urgentPatience and otherPatience are the part of the time to the objective
+	// that a prediction may take. When load is at its worst, less urgent work is
+	// turned away first, and the queues at the engines stay short: a long answer
+	// is slow beside many prompts.
+	urgentPatience = 1.1
+	otherPatience  = 0.75
 	// shortestRetry bounds from below when a refused request may come back.
 	shortestRetry = 100 * time.Millisecond
 	// noServerWait is when to come back while no server is known: servers
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -265,6 +265,10 @@
 	// counts, and slowShare of the time that the own answer takes.
 	harmShare = 0.03
 	slowShare = 0.04
+	// quietFactor is how much more the harm counts on the quiet server, and
+	// quietLeast from how many servers on there is one.
+	quietFactor = 5
+	quietLeast  = 3
 )
 
 // bestLocal returns the server of this region that would serve a request best:
@@ -275,6 +279,7 @@
 		return best
 	}
 	keeper, kept := p.keeper(now, request)
+	quiet := p.quiet(now, request.Service)
 	enough := time.Duration(float64(request.Objective.Sub(now)) * stayShare)
 	for _, s := range p.servers {
 		if s.Service != request.Service.Name || slices.Contains(request.Tried, s.Name) || !p.usable(now, s) {
@@ -285,6 +290,9 @@
 		}
 		s.seen = now
 		next := p.consider(now, s, request, keeper, kept)
+		if s == quiet {
+			next.price += (quietFactor - 1) * s.harm(request.Work.Prompt-next.cached)
+		}
 		next.servers = best.servers + 1
 		if best.server == nil || next.before(best, enough) {
 			best = next
@@ -334,8 +342,7 @@
 		next.end = next.wait
 		return next
 	}
-	next.price += time.Duration(harmShare*float64(s.total().Running)*float64(readTime(request.Work.Prompt-next.cached, 0))) +
-		time.Duration(slowShare*float64(s.runTime(now, request.Work)))
+	next.price += s.harm(request.Work.Prompt-next.cached) + time.Duration(slowShare*float64(s.runTime(now, request.Work)))
 	if held := float64(s.total().Memory + request.Work.memory()); held > memoryShare*float64(engine.Memory) {
 		next.wait += fullMemoryWait
 	}
@@ -346,6 +353,32 @@
 	return next
 }
 
+// harm prices the delay that reading a prompt means for the running answers.
+func (s *server) harm(unread int64) time.Duration {
+	return time.Duration(harmShare * float64(s.total().Running) * float64(readTime(unread, 0)))
+}
+
+// quiet returns the server of a service on which prompts are read least, so that
+// long answers can end in time beside a load that the others bear. There is none
+// where servers are few.
+func (p *Placer) quiet(now time.Time, service *definer.Service) *server {
+	var best *server
+	count := 0
+	for _, s := range p.servers {
+		if s.Service != service.Name || !p.usable(now, s) || s.cold(now) {
+			continue
+		}
+		count++
+		if best == nil || s.hash > best.hash {
+			best = s
+		}
+	}
+	if service.Engine == nil || count < quietLeast {
+		return nil
+	}
+	return best
+}
+
 // runTime predicts how long the output of a request takes beside the batch and
 // the prompts that keep coming.
 func (s *server) runTime(now time.Time, work Work) time.Duration {
