--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -119,6 +119,8 @@
 	// Wait is the shortest predicted time to a first event, without the
 	// reading of the request's own prompt.
 	Wait time.Duration `cbor:"w"`
+	// Token is the shortest predicted time for one token of an answer.
+	Token time.Duration `cbor:"t,omitempty"`
 }
 
 // Load is the work that one instance has at a server.
@@ -401,8 +403,12 @@
 			continue
 		}
 		wait := known.Wait + regionTrip + readTime(request.Work.Prompt-sharedTokens(request.Work.Parts), 1)
+		end := wait + time.Duration(request.Work.expected())*known.Token
+		if late := end - request.Deadline.Sub(now); late > 0 {
+			wait += late
+		}
 		if !found || wait < best.wait {
-			best, found = candidate{region: region, wait: wait}, true
+			best, found = candidate{region: region, wait: wait, end: end}, true
 		}
 	}
 	return best, found
@@ -441,6 +447,11 @@
 		if !seen || wait < known.Wait {
 			known.Wait = wait
 		}
+		if s.engine {
+			if token := s.runTime(now, Work{Output: 1}); !seen || token < known.Token {
+				known.Token = token
+			}
+		}
 		known.Servers++
 		summaries[s.Service] = known
 	}
