placer: a long prompt that meets no queue is answered, if late

Change: the reading of the own prompt is not held against a request; others' work may then take a quarter.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -202,14 +202,14 @@
 	case found && p.worthLeaving(request, now, local, away):
 		return p.remoteOrRefuse(now, request, away)
 	}
-	if late := p.late(now, request, local.wait); late > 0 {
+	if late := late(now, request, local); late > 0 {
 		return Decision{Refused: ReasonOverloaded, Wait: late, Servers: local.servers}
 	}
 	return p.assign(now, request, local)
 }
 
 func (p *Placer) remoteOrRefuse(now time.Time, request Request, away candidate) Decision {
-	if late := p.late(now, request, away.wait); late > 0 {
+	if late := late(now, request, away); late > 0 {
 		return Decision{Refused: ReasonOverloaded, Wait: late}
 	}
 	return Decision{Region: away.region, Wait: away.wait}
@@ -226,8 +226,10 @@
 	return away.wait+leaveMargin < local.wait
 }
 
-// late returns by how much a request would miss what is worth waiting for.
-func (p *Placer) late(now time.Time, request Request, wait time.Duration) time.Duration {
+// late returns by how much a request would miss what is worth waiting for. What
+// the reading of its own prompt takes is not held against it: a long one that
+// meets no queue is answered, if late.
+func late(now time.Time, request Request, best candidate) time.Duration {
 	if request.Started {
 		return 0
 	}
@@ -236,11 +238,12 @@
 	if request.Urgency > 0 {
 		patience = otherPatience
 	}
-	most := min(time.Duration(float64(spare)*patience), request.Deadline.Sub(now))
-	if wait <= most {
+	most := max(time.Duration(float64(spare)*patience), best.own+time.Duration(float64(spare)*queueShare))
+	most = min(most, request.Deadline.Sub(now))
+	if best.wait <= most {
 		return 0
 	}
-	return max(wait-most, shortestRetry)
+	return max(best.wait-most, shortestRetry)
 }
 
 // What a placement weighs.
@@ -256,6 +259,9 @@
 	// is slow beside many prompts.
 	urgentPatience = 1.1
 	otherPatience  = 0.75
+	// queueShare is the part that others' work may take where the own prompt
+	// alone is too long.
+	queueShare = 0.25
 	// shortestRetry bounds from below when a refused request may come back.
 	shortestRetry = 100 * time.Millisecond
 	// noServerWait is when to come back while no server is known: servers
@@ -274,7 +280,9 @@
 	servers int
 	// price is what the choice costs beside the wait, in time.
 	price time.Duration
-	// end is the predicted time to the last event.
+	// own is the part of the wait in which the own prompt is read, and end the
+	// predicted time to the last event.
+	own time.Duration
 	end time.Duration
 }
 
@@ -402,13 +410,14 @@
 		if !serves || known.Servers == 0 || now.Sub(known.heard) > remoteFreshness || !request.allows(region) {
 			continue
 		}
-		wait := known.Wait + regionTrip + readTime(request.Work.Prompt-sharedTokens(request.Work.Parts), 1)
+		own := readTime(request.Work.Prompt-sharedTokens(request.Work.Parts), 1)
+		wait := known.Wait + regionTrip + own
 		end := wait + time.Duration(request.Work.expected())*known.Token
 		if late := end - request.Deadline.Sub(now); late > 0 {
 			wait += late
 		}
 		if !found || wait < best.wait {
-			best, found = candidate{region: region, wait: wait, end: end}, true
+			best, found = candidate{region: region, wait: wait, own: own, end: end}, true
 		}
 	}
 	return best, found
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -337,6 +337,7 @@
 			next.price = time.Duration(missing) * readPrice
 		}
 	}
+	next.own = time.Duration(float64(readTime(request.Work.Prompt-next.cached, s.total().Running)) * s.speed)
 	next.wait += s.wait(request.Work.Prompt - next.cached)
 	if engine == nil {
 		next.end = next.wait
