--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -116,7 +116,7 @@
 	if out.ran > 0 || out.started {
 		return f.giveUp(ctx, out)
 	}
-	return &Refusal{Status: http.StatusServiceUnavailable, Reason: string(decision.Refused), RetryAfter: decision.Wait}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: string(decision.Refused), RetryAfter: decision.RetryAfter}
 }
 
 // declinedRetry is when to come back after all servers that were asked declined.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -89,7 +89,7 @@
 			return placer.Decision{Server: &f.servers[i]}
 		}
 	}
-	return placer.Decision{Refused: placer.ReasonNoServer, Wait: time.Second}
+	return placer.Decision{Refused: placer.ReasonNoServer, RetryAfter: time.Second}
 }
 
 func contains(names []string, name string) bool {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -97,9 +97,11 @@
 	Server  *registrar.Server
 	Region  string
 	Refused Reason
-	// Wait is the predicted time to the first event; of a refusal, when to
-	// come back.
+	// Wait is the predicted time to the first event, 0 when nothing could serve
+	// the request.
 	Wait time.Duration
+	// RetryAfter is when a refused request may come back.
+	RetryAfter time.Duration
 	// End is the predicted time to the last event, at a server of this region.
 	End time.Duration
 	// Cached is how much of the prompt the server is expected to keep, in
@@ -196,21 +198,21 @@
 	away, found := p.bestRemote(now, request)
 	switch {
 	case local.server == nil && !found:
-		return Decision{Refused: ReasonNoServer, Wait: noServerWait}
+		return Decision{Refused: ReasonNoServer, RetryAfter: noServerWait}
 	case local.server == nil:
 		return p.remoteOrRefuse(now, request, away)
 	case found && p.worthLeaving(request, now, local, away):
 		return p.remoteOrRefuse(now, request, away)
 	}
 	if late := late(now, request, local); late > 0 {
-		return Decision{Refused: ReasonOverloaded, Wait: late, Servers: local.servers}
+		return Decision{Refused: ReasonOverloaded, Wait: local.wait, RetryAfter: late, Servers: local.servers}
 	}
 	return p.assign(now, request, local)
 }
 
 func (p *Placer) remoteOrRefuse(now time.Time, request Request, away candidate) Decision {
 	if late := late(now, request, away); late > 0 {
-		return Decision{Refused: ReasonOverloaded, Wait: late}
+		return Decision{Refused: ReasonOverloaded, Wait: away.wait, RetryAfter: late}
 	}
 	return Decision{Region: away.region, Wait: away.wait}
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -151,7 +151,7 @@
 		if decision.Server == nil {
 			refused[urgent]++
 			assert.Equal(t, decision.Refused, ReasonOverloaded)
-			assert.Assert(t, decision.Wait >= shortestRetry)
+			assert.Assert(t, decision.RetryAfter >= shortestRetry)
 			continue
 		}
 		taken[urgent]++
