follower: in large fleets one instance speaks for each failure domain

Change: from 12 instances on, an instance tells its own domain, and one of them sums it up for the others; control instances of other regions are asked less often and send states only if those of this region do not; lists of instances are told once a spread. Cold servers belong to an instance of their own domain.

--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -51,6 +51,8 @@
 
 // peer is another instance.
 type peer struct {
+	// weight is how many instances it speaks for.
+	weight      int
 	incarnation int64
 	heard       time.Time
 	spent       map[string]float64
@@ -89,7 +91,7 @@
 // fill refills every bucket up to now.
 func (a *Apportioner) fill(now time.Time) {
 	silent := a.silent(now)
-	share := 1 - float64(silent)/float64(len(a.peers)+1)
+	share := 1 - float64(silent)/float64(a.instances())
 	for _, b := range a.buckets {
 		if elapsed := now.Sub(b.filled); elapsed > 0 {
 			b.level = min(b.level+elapsed.Seconds()*b.Rate*share, b.Burst)
@@ -107,13 +109,22 @@
 		case age > memory:
 			delete(a.peers, name)
 		case age > freshness:
-			count++
+			count += p.weight
 			a.assume(p)
 		}
 	}
 	return count
 }
 
+// instances returns how many instances are known, this one among them.
+func (a *Apportioner) instances() int {
+	total := 1
+	for _, p := range a.peers {
+		total += p.weight
+	}
+	return total
+}
+
 // assume debits what an instance that has just fallen silent has most likely
 // spent since it was last heard.
 func (a *Apportioner) assume(p *peer) {
@@ -188,21 +199,37 @@
 	return levels
 }
 
+// Word is what another instance, or one that speaks for several, says of the
+// quotas.
+type Word struct {
+	Name string
+	// Instances is how many it speaks for.
+	Instances   int
+	Incarnation int64
+	// Spent is since the incarnation began, and Levels what is believed to be
+	// left.
+	Spent  map[string]float64
+	Levels map[string]float64
+}
+
 // Hear takes in what another instance has spent since it started, and what it
 // believes to be left. The first word of an incarnation sets the point from which
 // its spending is counted; what it believes then is taken over if it is less.
-func (a *Apportioner) Hear(now time.Time, name string, incarnation int64, spent, levels map[string]float64) {
+func (a *Apportioner) Hear(now time.Time, word Word) {
 	if a.peers == nil {
 		a.peers = map[string]*peer{}
 	}
 	a.fill(now)
-	p, known := a.peers[name]
-	if known && incarnation < p.incarnation {
+	p, known := a.peers[word.Name]
+	if known && word.Incarnation < p.incarnation {
 		return
 	}
-	if !known || incarnation > p.incarnation {
-		a.peers[name] = &peer{incarnation: incarnation, heard: now, spent: maps.Clone(spent), pace: map[string]float64{}}
-		for workspace, level := range levels {
+	if !known || word.Incarnation > p.incarnation {
+		a.peers[word.Name] = &peer{
+			weight: max(word.Instances, 1), incarnation: word.Incarnation, heard: now,
+			spent: maps.Clone(word.Spent), pace: map[string]float64{},
+		}
+		for workspace, level := range word.Levels {
 			if b, bounded := a.buckets[workspace]; bounded {
 				b.level = min(b.level, level)
 			}
@@ -210,10 +237,10 @@
 		return
 	}
 	elapsed := now.Sub(p.heard).Seconds()
-	for workspace, total := range spent {
+	for workspace, total := range word.Spent {
 		a.debit(p, workspace, total-p.spent[workspace], elapsed)
 	}
-	p.spent, p.heard, p.assumed = maps.Clone(spent), now, nil
+	p.spent, p.heard, p.assumed, p.weight = maps.Clone(word.Spent), now, nil, max(word.Instances, 1)
 }
 
 func (a *Apportioner) debit(p *peer, workspace string, amount, elapsed float64) {
@@ -226,7 +253,7 @@
 	}
 	if elapsed > freshness.Seconds() {
 		// Its even share was debited while it was silent.
-		covered := b.Rate/float64(len(a.peers)+1)*(elapsed-freshness.Seconds()) + p.assumed[workspace]
+		covered := b.Rate*float64(p.weight)/float64(a.instances())*(elapsed-freshness.Seconds()) + p.assumed[workspace]
 		amount = max(amount-covered, 0)
 	}
 	b.level = min(b.level-amount, b.Burst)
--- a/internal/apportioner/apportioner_test.go
+++ b/internal/apportioner/apportioner_test.go
@@ -51,7 +51,7 @@
 	for i, from := range f.instances {
 		for j, to := range f.instances {
 			if i != j && f.side[i] == f.side[j] && f.random.IntN(20) > 0 {
-				to.Hear(f.now, fmt.Sprint(i), f.born[i], from.Spent(), from.Levels())
+				to.Hear(f.now, Word{Name: fmt.Sprint(i), Incarnation: f.born[i], Spent: from.Spent(), Levels: from.Levels()})
 			}
 		}
 	}
--- a/internal/beaconer/beaconer.go
+++ b/internal/beaconer/beaconer.go
@@ -45,6 +45,20 @@
 	Loads map[string]placer.Load `cbor:"l,omitempty"`
 	// Services is what its region can do.
 	Services map[string]placer.Summary `cbor:"v,omitempty"`
+	// Zone, unless nil, makes the beacon one of the sender's whole failure
+	// domain: Spent and Loads are then sums over its instances.
+	Zone *Zone `cbor:"z,omitempty"`
+}
+
+// Zone tells for whom a beacon speaks.
+type Zone struct {
+	// Since is when the sender began to speak for its failure domain, in
+	// nanoseconds. The newest speaker counts.
+	Since int64 `cbor:"s"`
+	// Relays are the relay addresses of its ready instances.
+	Relays []netip.AddrPort `cbor:"r,omitempty"`
+	// Instances is how many instances it speaks for.
+	Instances int `cbor:"i"`
 }
 
 // Instance is where an entry instance is.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -266,7 +266,7 @@
 	gone.State, gone.Sequence = beaconer.StateStopping, 2
 	c.Hear(now, gone)
 	assert.DeepEqual(t, c.Resolve("e1", "east"), []netip.AddrPort{stopping.Callers}, cmpAddrPort)
-	c.places.expire(now.Add(instanceSilence + time.Second))
+	c.places.expire(now.Add(farInstanceSilence+time.Second), "north")
 	assert.Equal(t, len(c.Resolve("n1", "north")), 0)
 }
 
--- a/internal/controller/places.go
+++ b/internal/controller/places.go
@@ -20,8 +20,10 @@
 // Times of places.
 const (
 	// instanceSilence is how long an entry instance may be unheard and still be
-	// named to callers: several of its beacons may be lost.
-	instanceSilence = 1500 * time.Millisecond
+	// named to callers: several of its beacons may be lost. Those of other regions
+	// send theirs less often.
+	instanceSilence    = 1500 * time.Millisecond
+	farInstanceSilence = 3500 * time.Millisecond
 	// controlMemory is how long a control instance that was heard is asked.
 	controlMemory = 20 * time.Second
 )
@@ -32,6 +34,8 @@
 	instances map[string]heardInstance
 	controls  map[string]time.Time
 	revision  uint64
+	// told is the revision that those who wait were last woken for.
+	told uint64
 	// taken is the revision of the servers that each entry instance has.
 	taken map[string]uint64
 	// allowed are the bound routes that each region may serve, counted in a
@@ -46,24 +50,29 @@
 	heard time.Time
 }
 
-// hear takes in a beacon. It reports whether the list of instances changed.
+// hear takes in a beacon. It reports whether anything of the instance changed.
 func (p *places) hear(now time.Time, beacon beaconer.Beacon) bool {
 	if p.instances == nil {
 		p.instances = map[string]heardInstance{}
 	}
 	known, exists := p.instances[beacon.Name]
 	p.instances[beacon.Name] = heardInstance{Instance: beacon.Instance, state: beacon.State, heard: now}
-	if exists && known.Instance == beacon.Instance && known.state == beacon.State {
-		return false
+	if !exists || known.Instance != beacon.Instance {
+		p.revision++
+		return true
 	}
-	p.revision++
-	return true
+	return known.state != beacon.State
 }
 
 // expire drops silent instances. It reports whether the list changed.
-func (p *places) expire(now time.Time) bool {
+func (p *places) expire(now time.Time, region string) bool {
 	before := len(p.instances)
-	maps.DeleteFunc(p.instances, func(_ string, i heardInstance) bool { return now.Sub(i.heard) > instanceSilence })
+	maps.DeleteFunc(p.instances, func(_ string, i heardInstance) bool {
+		if i.Region != region {
+			return now.Sub(i.heard) > farInstanceSilence
+		}
+		return now.Sub(i.heard) > instanceSilence
+	})
 	maps.DeleteFunc(p.controls, func(_ string, heard time.Time) bool { return now.Sub(heard) > controlMemory })
 	if len(p.instances) == before {
 		return false
@@ -116,8 +125,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.places.hear(now, beacon) {
+		// Entry instances hear of it with the next spread: many start at once.
 		klog.InfoS("entry instance changed", "instance", beacon.Name, "state", beacon.State, "callers", beacon.Callers.String())
-		c.notify()
 	}
 }
 
@@ -227,6 +236,9 @@
 // watchHold is how long a watch waits for news before it is answered empty.
 const watchHold = time.Second
 
+// longestHold bounds how much longer an asker may let a watch wait.
+const longestHold = 10 * time.Second
+
 // WatchQuery asks for what an entry instance lacks.
 type WatchQuery struct {
 	// Epoch is the start of the process that Servers and Places come from.
@@ -238,11 +250,19 @@
 	Region  string           `cbor:"r"`
 	// Name is the asker's.
 	Name string `cbor:"n"`
+	// Hold is how much longer than usual the answer may wait for news.
+	Hold time.Duration `cbor:"h,omitempty"`
+	// Brief leaves the state out of the answer: its index is enough.
+	Brief bool `cbor:"b,omitempty"`
 }
 
 // News answers a watch.
 type News struct {
 	Epoch int64 `cbor:"e"`
+	// Region is where the answering process runs, and Index where its log last
+	// changed the state.
+	Region string           `cbor:"g"`
+	Index  replicator.Index `cbor:"x"`
 	// State is set if it is newer than the asker's; its document is left out
 	// if the asker has that version.
 	State *State `cbor:"t,omitempty"`
@@ -256,7 +276,7 @@
 }
 
 func (c *Controller) serveWatch(ctx context.Context, _ certifier.Identity, query WatchQuery) (News, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchHold)
+	ctx, cancel := context.WithTimeout(ctx, watchHold+min(query.Hold, longestHold))
 	defer cancel()
 	for {
 		c.mu.Lock()
@@ -287,20 +307,23 @@
 		c.places.taken = map[string]uint64{}
 	}
 	c.places.taken[query.Name] = query.Servers
-	news := News{Epoch: c.epoch, ServersRevision: c.servers.Revision(), PlacesRevision: c.places.revision + 1}
+	news := News{Epoch: c.epoch, Region: c.settings.Region, Index: state.Index, ServersRevision: c.servers.Revision(), PlacesRevision: c.places.revision + 1}
 	fresh := query.Epoch != c.epoch
 	if state.Index > query.Index {
 		if uint64(state.Version) == query.Version {
 			state.Document = nil
 		}
-		news.State = &state
+		if !query.Brief {
+			news.State = &state
+		}
 		fresh = true
 	}
 	if query.Servers < news.ServersRevision {
+		// A change elsewhere is no news for the asker.
 		news.Servers = slices.DeleteFunc(c.servers.Since(time.Now(), query.Servers), func(s registrar.Server) bool {
 			return c.settings.FailureDomains[s.FailureDomain] != query.Region
 		})
-		fresh = true
+		fresh = fresh || len(news.Servers) > 0
 	}
 	if query.Places < news.PlacesRevision {
 		news.Controls = controls
--- a/internal/controller/servers.go
+++ b/internal/controller/servers.go
@@ -179,7 +179,9 @@
 		c.mu.Lock()
 		before := c.servers.Revision()
 		c.servers.Tick(now)
-		if c.places.expire(now) || c.servers.Revision() != before {
+		c.places.expire(now, c.settings.Region)
+		if c.places.told != c.places.revision || c.servers.Revision() != before {
+			c.places.told = c.places.revision
 			c.notify()
 		}
 		outbox := c.outbox
--- a/internal/follower/beacons.go
+++ b/internal/follower/beacons.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/boragehead/boragehead/internal/apportioner"
 	"github.com/boragehead/boragehead/internal/beaconer"
 	"github.com/boragehead/boragehead/internal/logger"
 )
@@ -19,6 +20,13 @@
 	// instances.
 	regionEvery  = 4
 	controlEvery = 3
+	// quietEvery is for control instances of other regions in large fleets,
+	// domainEvery inside a failure domain there, and the speeches go to the other
+	// domains of the region and to other regions.
+	quietEvery     = 10
+	domainEvery    = 2
+	speechEvery    = 4
+	farSpeechEvery = 8
 	// instanceMemory is how long a silent entry instance is sent beacons.
 	instanceMemory = 30 * time.Second
 )
@@ -57,37 +65,97 @@
 	}
 }
 
+// due returns the beacons of this interval.
 func (f *Follower) due(all bool) []letter {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sequence++
 	now := time.Now()
-	far := beaconer.Beacon{Instance: f.self, State: f.state, Sequence: f.sequence}
-	control := far
+	f.forgetSilent(now)
+	bare := beaconer.Beacon{Instance: f.self, State: f.state, Sequence: f.sequence}
+	letters := f.toControls(all, bare)
+	if f.many() {
+		return append(letters, f.amongMany(now, all, bare)...)
+	}
+	return append(letters, f.amongFew(now, all, bare)...)
+}
+
+// forgetSilent drops instances that have not been heard for long.
+func (f *Follower) forgetSilent(now time.Time) {
+	for name, other := range f.instances {
+		silence := now.Sub(other.heard)
+		if other.state == beaconer.StateStopping && silence > instanceSilence {
+			f.quotas.Forget(name) // it has ended in order and spends nothing more
+		}
+		if silence > instanceMemory && !f.named[name] {
+			delete(f.instances, name)
+		}
+	}
+}
+
+// toControls addresses the control instances that are due.
+func (f *Follower) toControls(all bool, bare beaconer.Beacon) []letter {
+	var letters []letter
+	for address, s := range f.sources {
+		every := uint64(controlEvery)
+		if f.quiet(s) {
+			every = quietEvery
+		}
+		if to, err := netip.ParseAddrPort(address); err == nil && (all || f.sequence%every == 0) {
+			letters = append(letters, letter{to: to, beacon: bare})
+		}
+	}
+	return letters
+}
+
+// amongFew lets every instance tell every other one.
+func (f *Follower) amongFew(now time.Time, all bool, bare beaconer.Beacon) []letter {
+	far := bare
 	far.Spent, far.Levels = f.quotas.Spent(), f.quotas.Levels()
-	far.Services = f.placer.Summaries(now)
 	near := far
-	near.Services = nil
 	near.Loads = f.placer.Loads()
+	far.Services = f.placer.Summaries(now)
 	var letters []letter
-	for name, other := range f.instances {
-		if other.state == beaconer.StateStopping && now.Sub(other.heard) > instanceSilence {
-			f.quotas.Forget(name) // it has ended in order and spends nothing more
-		}
+	for _, other := range f.instances {
 		switch {
-		case now.Sub(other.heard) > instanceMemory:
-			delete(f.instances, name)
 		case other.Region == f.self.Region:
 			letters = append(letters, letter{to: other.Peer, beacon: near})
 		case all || f.sequence%regionEvery == 0:
 			letters = append(letters, letter{to: other.Peer, beacon: far})
 		}
 	}
-	if all || f.sequence%controlEvery == 0 {
-		for address := range f.sources {
-			if to, err := netip.ParseAddrPort(address); err == nil {
-				letters = append(letters, letter{to: to, beacon: control})
+	return letters
+}
+
+// amongMany lets every instance tell those of its failure domain, and one of
+// them the others.
+func (f *Follower) amongMany(now time.Time, all bool, bare beaconer.Beacon) []letter {
+	own := bare
+	own.Spent, own.Levels = f.quotas.Spent(), f.quotas.Levels()
+	near := own
+	near.Loads = f.placer.Loads()
+	speaks := f.speaks(now)
+	var region, far beaconer.Beacon
+	if speaks {
+		region = f.speech(now, own)
+		far = region
+		region.Loads = f.placer.NearLoads(now)
+		far.Services = f.placer.Summaries(now)
+	}
+	var letters []letter
+	for _, other := range f.instances {
+		switch {
+		case other.FailureDomain == f.self.FailureDomain:
+			if all || f.sequence%domainEvery == 0 {
+				letters = append(letters, letter{to: other.Peer, beacon: near})
+			}
+		case !speaks:
+		case other.Region == f.self.Region:
+			if f.sequence%speechEvery == 0 {
+				letters = append(letters, letter{to: other.Peer, beacon: region})
 			}
+		case f.sequence%farSpeechEvery == 0:
+			letters = append(letters, letter{to: other.Peer, beacon: far})
 		}
 	}
 	return letters
@@ -101,9 +169,19 @@
 		return
 	}
 	f.instances[beacon.Name] = instance{Instance: beacon.Instance, state: beacon.State, heard: now}
-	f.quotas.Hear(now, beacon.Name, beacon.Incarnation, beacon.Spent, beacon.Levels)
+	if beacon.Zone != nil {
+		f.hearZone(now, beacon)
+		return
+	}
+	near := beacon.FailureDomain == f.self.FailureDomain
+	if near {
+		f.domain.note(beacon)
+	}
+	f.quotas.Hear(now, apportioner.Word{
+		Name: beacon.Name, Incarnation: beacon.Incarnation, Spent: beacon.Spent, Levels: beacon.Levels,
+	})
 	if beacon.Region == f.self.Region {
-		f.placer.HearLoads(now, beacon.Name, beacon.Loads)
+		f.placer.HearLoads(now, beacon.Name, near, beacon.Loads)
 		return
 	}
 	if beacon.State == beaconer.StateReady {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -47,10 +47,14 @@
 	sources   map[string]*source
 	controls  []string
 	instances map[string]instance
-	placer    placer.Placer
-	quotas    apportioner.Apportioner
-	sequence  uint64
-	supplied  bool
+	zones     map[string]zone
+	// named are the instances that the control instances know of.
+	named    map[string]bool
+	domain   domain
+	placer   placer.Placer
+	quotas   apportioner.Apportioner
+	sequence uint64
+	supplied bool
 	// conditions of the servers when they were last logged.
 	conditions map[string]string
 }
@@ -63,6 +67,10 @@
 	heard   time.Time
 	said    map[string]word
 	cancel  func()
+	// region is where it runs, once it has said so; behind is since when it has
+	// told of a state that this instance lacks.
+	region string
+	behind time.Time
 }
 
 // word is what a control instance said of a server, and when.
@@ -90,13 +98,14 @@
 	f := &Follower{
 		settings: settings, decode: decode, client: client, port: port,
 		started: time.Now(), state: beaconer.StateStarting, sources: map[string]*source{}, instances: map[string]instance{},
+		zones: map[string]zone{}, domain: domain{spent: map[string]spending{}},
 	}
 	f.self = beaconer.Instance{
 		Name: settings.Name, Region: settings.Region, FailureDomain: settings.FailureDomain,
 		Incarnation: time.Now().UnixNano(), Peer: settings.PeerAddress,
 		Callers: settings.CallerAddress, Relay: settings.RelayAddress(),
 	}
-	f.placer.Self, f.placer.Region = settings.Name, settings.Region
+	f.placer.Self, f.placer.Region, f.placer.FailureDomain = settings.Name, settings.Region, settings.FailureDomain
 	for _, seed := range settings.SeedPeers() {
 		f.controls = append(f.controls, seed.String())
 	}
@@ -185,7 +194,7 @@
 
 // sourceContact is how long what a control instance says of a server's silence
 // counts after it was last heard.
-const sourceContact = 3 * time.Second
+const sourceContact = 6 * time.Second
 
 // learn joins what the sources say of the servers. The lock must be held.
 func (f *Follower) learn(now time.Time) {
@@ -290,6 +299,11 @@
 			addresses = append(addresses, other.Relay)
 		}
 	}
+	for _, other := range f.zones {
+		if other.region == region && now.Sub(other.heard) < instanceSilence {
+			addresses = append(addresses, other.Relays...)
+		}
+	}
 	if len(addresses) == 0 {
 		return netip.AddrPort{}, false
 	}
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -20,6 +21,11 @@
 	watchTimeout = 1700 * time.Millisecond
 	// watchPause is the pause after a watch that failed.
 	watchPause = 100 * time.Millisecond
+	// quietHold is how much longer a control instance of another region holds a
+	// watch in a large fleet, and quietPatience how long it is left to those of
+	// this region to bring a new state.
+	quietHold     = 3 * time.Second
+	quietPatience = 500 * time.Millisecond
 	// reviewInterval is the time between two looks at whom to follow and which
 	// servers have fallen silent.
 	reviewInterval = 200 * time.Millisecond
@@ -100,10 +106,12 @@
 			reached = err == nil
 			klog.InfoS("control instance", "address", to.Name, "reached", reached, "err", logger.Reason(err))
 		}
-		if err == nil {
+		if err == nil && !f.waits(s) {
 			continue
 		}
-		f.client.Reset(to)
+		if err != nil {
+			f.client.Reset(to)
+		}
 		select {
 		case <-time.After(watchPause):
 		case <-ctx.Done():
@@ -111,15 +119,30 @@
 	}
 }
 
+// waits reports whether a source is to be asked again only after a pause: it
+// would answer at once with what this instance gets elsewhere.
+func (f *Follower) waits(s *source) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.quiet(s) && !s.behind.IsZero()
+}
+
 func (f *Follower) ask(ctx context.Context, to messenger.Endpoint, s *source) error {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
 	f.mu.Lock()
 	query := controller.WatchQuery{
 		Epoch: s.epoch, Index: f.index, Version: uint64(f.version),
 		Servers: s.servers, Places: s.places, Region: f.settings.Region, Name: f.settings.Name,
 	}
+	timeout := watchTimeout
+	if f.quiet(s) {
+		timeout += quietHold
+		query.Hold = quietHold
+		query.Places = math.MaxUint64 // those of this region tell where the others are
+		query.Brief = s.behind.IsZero() || time.Since(s.behind) < quietPatience
+	}
 	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	news, err := messenger.Call[controller.WatchQuery, controller.News](ctx, f.client, to, controller.MethodWatch, query)
 	if err != nil {
 		return err
@@ -127,7 +150,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	s.heard = now
+	s.heard, s.region = now, news.Region
+	f.noteBehind(now, s, news)
 	f.takeServers(now, s, news)
 	if news.Instances != nil || news.Controls != nil {
 		f.takePlaces(now, news)
@@ -142,13 +166,29 @@
 	return nil
 }
 
+// noteBehind notes since when a source has known of a state that this instance
+// lacks. In large fleets sources of other regions send it only when those of this
+// region have not within a while.
+func (f *Follower) noteBehind(now time.Time, s *source, news controller.News) {
+	if news.Index <= f.index {
+		s.behind = time.Time{}
+		return
+	}
+	if s.behind.IsZero() {
+		s.behind = now
+	}
+}
+
 // takeServers takes in what one control instance says of the servers.
 func (f *Follower) takeServers(now time.Time, s *source, news controller.News) {
 	if news.Epoch != s.epoch {
 		s.epoch = news.Epoch
 		s.said = map[string]word{}
 	}
-	s.servers, s.places = news.ServersRevision, news.PlacesRevision
+	s.servers = news.ServersRevision
+	if news.Instances != nil || news.Controls != nil {
+		s.places = news.PlacesRevision
+	}
 	for _, said := range news.Servers {
 		if known, exists := s.said[said.Name]; !exists || !known.Newer(said) {
 			s.said[said.Name] = word{Server: said, taken: now}
@@ -166,10 +206,14 @@
 			f.controls = append(f.controls, address)
 		}
 	}
+	if len(news.Instances) > 0 {
+		f.named = map[string]bool{}
+	}
 	for _, other := range news.Instances {
 		if other.Name == f.self.Name {
 			continue
 		}
+		f.named[other.Name] = true
 		known, exists := f.instances[other.Name]
 		if !exists || other.Incarnation > known.Incarnation {
 			f.instances[other.Name] = instance{Instance: other, heard: now}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -151,9 +151,10 @@
 
 // Placer decides for one entry instance. It is not safe for concurrent use.
 type Placer struct {
-	// Self and Region name this instance and where it is.
-	Self   string
-	Region string
+	// Self, Region and FailureDomain name this instance and where it is.
+	Self          string
+	Region        string
+	FailureDomain string
 
 	servers  map[string]*server
 	running  map[uint64]*run
@@ -172,10 +173,12 @@
 	began   bool
 }
 
-// peer is another instance of this region.
+// peer is another instance of this region, or a failure domain as a whole.
 type peer struct {
 	heard time.Time
 	loads map[string]Load
+	// near instances are of this failure domain.
+	near bool
 }
 
 // remote is what is known of a service in another region.
@@ -366,12 +369,30 @@
 	return loads
 }
 
-// HearLoads takes in what another instance of this region has at each server.
-func (p *Placer) HearLoads(now time.Time, name string, loads map[string]Load) {
+// NearLoads returns what all instances of this failure domain have at each
+// server, as far as they were heard lately.
+func (p *Placer) NearLoads(now time.Time) map[string]Load {
+	loads := p.Loads()
+	for _, other := range p.peers {
+		if !other.near || now.Sub(other.heard) > peerFreshness {
+			continue
+		}
+		for name, load := range other.loads {
+			sum := loads[name]
+			sum.add(load)
+			loads[name] = sum
+		}
+	}
+	return loads
+}
+
+// HearLoads takes in what another instance of this region has at each server, or
+// all of another failure domain. Near tells that it is one of this domain.
+func (p *Placer) HearLoads(now time.Time, name string, near bool, loads map[string]Load) {
 	if p.peers == nil {
 		p.peers = map[string]peer{}
 	}
-	p.peers[name] = peer{heard: now, loads: loads}
+	p.peers[name] = peer{heard: now, loads: loads, near: near}
 	for other, known := range p.peers {
 		if now.Sub(known.heard) > peerFreshness {
 			delete(p.peers, other)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -235,7 +235,7 @@
 	cold.Warmup = 10 * time.Second
 	var fleet []*Placer
 	for _, name := range []string{"a", "b", "c"} {
-		p := &Placer{Self: name, Region: "north"}
+		p := &Placer{Self: name, Region: "north", FailureDomain: "n"}
 		p.Learn(start, newView(engines()), []registrar.Server{cold})
 		fleet = append(fleet, p)
 	}
@@ -245,7 +245,7 @@
 		for _, p := range fleet {
 			for _, other := range fleet {
 				if other != p {
-					p.HearLoads(now, other.Self, nil)
+					p.HearLoads(now, other.Self, true, nil)
 				}
 			}
 		}
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -426,22 +426,26 @@
 }
 
 // mayWarm reports whether a cold server may get a request from this instance.
-// One instance of the region owns each cold server, so that the rate that it
-// bears holds over all of them.
+// One instance of its failure domain owns each cold server, so that the rate
+// that it bears holds over all of them.
 func (p *Placer) mayWarm(now time.Time, s *server, service *definer.Service) bool {
 	if service.WarmupRate <= 0 {
 		return true
 	}
+	if s.FailureDomain != p.FailureDomain {
+		return false
+	}
 	pause := time.Duration(float64(time.Second) / service.WarmupRate)
 	return p.owner(now, s) == p.Self && now.Sub(s.sent) >= pause
 }
 
-// owner returns the live instance of this region that a server belongs to.
+// owner returns the live instance of this failure domain that a server belongs
+// to.
 func (p *Placer) owner(now time.Time, s *server) string {
 	best := p.Self
 	highest := mix(xxhash.Sum64String(p.Self) ^ s.hash)
 	for name, other := range p.peers {
-		if now.Sub(other.heard) > peerFreshness {
+		if now.Sub(other.heard) > peerFreshness || !other.near {
 			continue
 		}
 		if rank := mix(xxhash.Sum64String(name) ^ s.hash); rank > highest {
