placer: one engine of a region keeps room for long answers

Change: from three engines on, one with more than 28 requests takes only answers expected to have 450 tokens or more; the harm to running answers and the own answer's time count 0.06.

--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -263,12 +263,14 @@
 	copyTime = 12 * time.Millisecond
 	// harmShare of the delay that reading a prompt means for each running answer
 	// counts, and slowShare of the time that the own answer takes.
-	harmShare = 0.03
-	slowShare = 0.04
-	// quietFactor is how much more the harm counts on the quiet server, and
-	// quietLeast from how many servers on there is one.
-	quietFactor = 5
-	quietLeast  = 3
+	harmShare = 0.06
+	slowShare = 0.06
+	// A quiet server with more than quietRunning requests takes only answers that
+	// are expected to have longAnswer tokens or more. There is one from quietLeast
+	// servers on.
+	quietRunning = 28
+	longAnswer   = 450
+	quietLeast   = 3
 )
 
 // bestLocal returns the server of this region that would serve a request best:
@@ -290,8 +292,8 @@
 		}
 		s.seen = now
 		next := p.consider(now, s, request, keeper, kept)
-		if s == quiet {
-			next.price += (quietFactor - 1) * s.harm(request.Work.Prompt-next.cached)
+		if s == quiet && s.keepsQuiet(request.Work) {
+			continue
 		}
 		next.servers = best.servers + 1
 		if best.server == nil || next.before(best, enough) {
@@ -380,6 +382,12 @@
 	return best
 }
 
+// keepsQuiet reports whether a quiet server keeps the room that it has left for
+// long answers.
+func (s *server) keepsQuiet(work Work) bool {
+	return work.expected() < longAnswer && s.total().Running > quietRunning
+}
+
 // runTime predicts how long the output of a request takes beside the batch and
 // the prompts that keep coming.
 func (s *server) runTime(now time.Time, work Work) time.Duration {
