--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -64,11 +64,23 @@
 			delete(f.sources, address)
 		}
 	}
+	f.placer.Crowd = f.crowd(now)
 	f.learn(now)
 	f.settle()
 	f.report(now)
 }
 
+// crowd counts the instances of this region.
+func (f *Follower) crowd(now time.Time) int {
+	count := 1
+	for _, other := range f.instances {
+		if other.Region == f.self.Region && (now.Sub(other.heard) < instanceSilence || f.named[other.Name]) {
+			count++
+		}
+	}
+	return count
+}
+
 // report logs which servers have begun or ceased to get work, and why.
 func (f *Follower) report(now time.Time) {
 	conditions := f.placer.Conditions(now)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -155,6 +155,8 @@
 	Self          string
 	Region        string
 	FailureDomain string
+	// Crowd is how many instances of this region place requests.
+	Crowd int
 
 	servers  map[string]*server
 	running  map[uint64]*run
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -321,3 +321,19 @@
 		}
 	}
 }
+
+// TestCrowdsDoNotAllChooseTheSameServer lets twenty instances that see the same
+// loads place one request each.
+func TestCrowdsDoNotAllChooseTheSameServer(t *testing.T) {
+	chosen := map[string]int{}
+	for i := range 20 {
+		p := newPlacer(10)
+		p.Self, p.Crowd = fmt.Sprintf("instance-%d", i), 20
+		chosen[p.Place(start, question(start, 100)).Server.Name]++
+	}
+	most := 0
+	for _, count := range chosen {
+		most = max(most, count)
+	}
+	assert.Assert(t, most <= 8, "%v", chosen)
+}
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -265,6 +265,11 @@
 	// counts, and slowShare of the time that the own answer takes.
 	harmShare = 0.06
 	slowShare = 0.06
+	// habitTime is the range of an instance's preferences for each instance above
+	// fewInstances in its region, up to mostHabit of them.
+	habitTime    = 6 * time.Millisecond
+	fewInstances = 3
+	mostHabit    = 20
 	// A quiet server with more than quietRunning requests takes only answers that
 	// are expected to have longAnswer tokens or more. There is one from quietLeast
 	// servers on.
@@ -295,6 +300,7 @@
 		if s == quiet && s.keepsQuiet(request.Work) {
 			continue
 		}
+		next.price += p.habit(s)
 		next.servers = best.servers + 1
 		if best.server == nil || next.before(best, enough) {
 			best = next
@@ -317,6 +323,17 @@
 	return c.server.hash < other.server.hash
 }
 
+// habit is a small price by which each instance of a crowd prefers other servers
+// than its neighbours. Between two beacons all see the same server as the best,
+// and would all send there.
+func (p *Placer) habit(s *server) time.Duration {
+	most := habitTime * time.Duration(min(max(p.Crowd-fewInstances, 0), mostHabit))
+	if most <= 0 {
+		return 0
+	}
+	return time.Duration(mix(xxhash.Sum64String(p.Self)^s.hash) % uint64(most))
+}
+
 // consider predicts how one server would serve a request, with a copy of what
 // the keeper has of its prompt if that helps.
 func (p *Placer) consider(now time.Time, s *server, request Request, keeper *server, kept int64) candidate {
