placer: crowds predict queues from rates

Change: from 8 instances in a region on, the queue that a prompt meets is at least what its server's rate of prompts makes likely.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -476,7 +476,7 @@
 		if !p.usable(now, s) || s.cold(now) {
 			continue
 		}
-		wait := s.wait(0)
+		wait := s.wait(now, 0)
 		known, seen := summaries[s.Service]
 		if !seen || wait < known.Wait {
 			known.Wait = wait
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -14,6 +14,8 @@
 // server is a backend server of this region with what is known of its work.
 type server struct {
 	registrar.Server
+	// crowded servers get requests from many instances.
+	crowded bool
 	// engine servers read prompts; the others are plain services.
 	engine    bool
 	hash      uint64
@@ -59,6 +61,12 @@
 	memoryShare = 0.8
 	// fullMemoryWait is what a prediction adds when the memory is taken.
 	fullMemoryWait = time.Second
+	// typicalPrompt is what is read of a prompt on average, in tokens, and mostBusy
+	// bounds the share of time for which a queue is predicted. From manyPlacing
+	// instances on, a region is a crowd.
+	typicalPrompt = 3000
+	mostBusy      = 0.95
+	manyPlacing   = 8
 	// plainTime is one request of a plain service.
 	plainTime = 15 * time.Millisecond
 )
@@ -95,19 +103,30 @@
 
 // wait predicts the time to the first event of a request that still has some
 // tokens to be read.
-func (s *server) wait(unread int64) time.Duration {
+func (s *server) wait(now time.Time, unread int64) time.Duration {
 	total := s.total()
 	if !s.engine {
 		rounds := float64(total.Running+1) / float64(max(s.Slots, 1))
 		return time.Duration(max(rounds, 1) * float64(plainTime) * s.speed)
 	}
-	wait := firstTime + readTime(total.Prefill+unread, total.Running)
+	wait := firstTime + readTime(max(total.Prefill, s.expectedQueue(now))+unread, total.Running)
 	if over := int(total.Running) + 1 - s.Slots; over > 0 && s.Slots > 0 {
 		wait += time.Duration(over) * runTime / time.Duration(s.Slots)
 	}
 	return time.Duration(float64(wait) * s.speed)
 }
 
+// expectedQueue returns the tokens that a new prompt finds before it on average,
+// by the rate at which prompts come from all instances of a crowd. What they have
+// waiting changes faster than they tell.
+func (s *server) expectedQueue(now time.Time) int64 {
+	if !s.crowded {
+		return 0
+	}
+	busy := min((s.pace.rate(now)+s.others.Pace)/(readTokens*1000), mostBusy)
+	return int64(busy / (1 - busy) * typicalPrompt / 2)
+}
+
 func (s *server) cold(now time.Time) bool {
 	return now.Before(s.coldUntil)
 }
@@ -181,6 +200,7 @@
 		known.coldUntil = until
 	}
 	known.Server = said
+	known.crowded = p.Crowd >= manyPlacing
 	if service, defined := view.Service(said.Service); defined {
 		known.engine = service.Engine != nil
 		if reopened := p.reopened[said.FailureDomain]; !reopened.IsZero() {
@@ -265,11 +285,6 @@
 	// counts, and slowShare of the time that the own answer takes.
 	harmShare = 0.06
 	slowShare = 0.06
-	// habitTime is the range of an instance's preferences for each instance above
-	// fewInstances in its region, up to mostHabit of them.
-	habitTime    = 6 * time.Millisecond
-	fewInstances = 3
-	mostHabit    = 20
 	// A quiet server with more than quietRunning requests takes only answers that
 	// are expected to have longAnswer tokens or more. There is one from quietLeast
 	// servers on.
@@ -300,7 +315,6 @@
 		if s == quiet && s.keepsQuiet(request.Work) {
 			continue
 		}
-		next.price += p.habit(s)
 		next.servers = best.servers + 1
 		if best.server == nil || next.before(best, enough) {
 			best = next
@@ -323,17 +337,6 @@
 	return c.server.hash < other.server.hash
 }
 
-// habit is a small price by which each instance of a crowd prefers other servers
-// than its neighbours. Between two beacons all see the same server as the best,
-// and would all send there.
-func (p *Placer) habit(s *server) time.Duration {
-	most := habitTime * time.Duration(min(max(p.Crowd-fewInstances, 0), mostHabit))
-	if most <= 0 {
-		return 0
-	}
-	return time.Duration(mix(xxhash.Sum64String(p.Self)^s.hash) % uint64(most))
-}
-
 // consider predicts how one server would serve a request, with a copy of what
 // the keeper has of its prompt if that helps.
 func (p *Placer) consider(now time.Time, s *server, request Request, keeper *server, kept int64) candidate {
@@ -357,7 +360,7 @@
 		}
 	}
 	next.own = time.Duration(float64(readTime(request.Work.Prompt-next.cached, s.total().Running)) * s.speed)
-	next.wait += s.wait(request.Work.Prompt - next.cached)
+	next.wait += s.wait(now, request.Work.Prompt-next.cached)
 	if engine == nil {
 		next.end = next.wait
 		return next
