Read as a newcomer: placer in files by concept, one window for messages between processes, linter clean

Both kinds of couriers send through messenger.Window; conductor.Every repeats work for both control planes; tests of streams and relays beside their files. No change of behaviour.

--- a/internal/apportioner/apportioner_test.go
+++ b/internal/apportioner/apportioner_test.go
@@ -34,7 +34,8 @@
 	amount float64
 }
 
-func newFleet(seed uint64, size int) *fleet {
+func newFleet(seed uint64) *fleet {
+	const size = 7
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 0)), now: start, side: make([]int, size), born: make([]int64, size)}
 	for range size {
 		a := &Apportioner{}
@@ -58,8 +59,11 @@
 }
 
 // offer lets requests arrive at random instances for a time.
-func (f *fleet) offer(length time.Duration, perSecond, cost float64) {
-	const step = 10 * time.Millisecond
+func (f *fleet) offer(length time.Duration, perSecond float64) {
+	const (
+		step = 10 * time.Millisecond
+		cost = 20
+	)
 	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(step) {
 		if f.now.UnixMilli()%100 == 0 {
 			f.beacons()
@@ -77,7 +81,7 @@
 }
 
 // most returns the most that passed in any window.
-func (f *fleet) most(window time.Duration) float64 {
+func (f *fleet) most() float64 {
 	most, sum, first := 0.0, 0.0, 0
 	for _, s := range f.passed {
 		sum += s.amount
@@ -102,9 +106,9 @@
 
 func TestSevenfoldLoadStaysWithinTheQuota(t *testing.T) {
 	for seed := range uint64(20) {
-		f := newFleet(seed, 7)
-		f.offer(20*time.Second, 7*rate/20, 20)
-		most := f.most(window)
+		f := newFleet(seed)
+		f.offer(20*time.Second, 7*rate/20)
+		most := f.most()
 		assert.Assert(t, most <= allowed(), "seed %d: %.0f of %.0f", seed, most, allowed())
 		assert.Assert(t, most >= 0.9*rate*window.Seconds(), "seed %d: only %.0f passed", seed, most)
 	}
@@ -112,8 +116,8 @@
 
 func TestLoadBelowTheQuotaIsNotRefused(t *testing.T) {
 	for seed := range uint64(20) {
-		f := newFleet(seed, 7)
-		f.offer(20*time.Second, 0.8*rate/20, 20)
+		f := newFleet(seed)
+		f.offer(20*time.Second, 0.8*rate/20)
 		total := 0.0
 		for _, s := range f.passed {
 			total += s.amount
@@ -126,17 +130,17 @@
 // the workspace asks for many times its rate.
 func TestPartsOfAPartitionKeepToTheWhole(t *testing.T) {
 	for seed := range uint64(20) {
-		f := newFleet(seed, 7)
-		f.offer(5*time.Second, 7*rate/20, 20)
+		f := newFleet(seed)
+		f.offer(5*time.Second, 7*rate/20)
 		for i := range f.side {
 			f.side[i] = i % (2 + int(seed%2))
 		}
-		f.offer(12*time.Second, 7*rate/20, 20)
+		f.offer(12*time.Second, 7*rate/20)
 		for i := range f.side {
 			f.side[i] = 0
 		}
-		f.offer(8*time.Second, 7*rate/20, 20)
-		most := f.most(window)
+		f.offer(8*time.Second, 7*rate/20)
+		most := f.most()
 		// Until an instance counts as silent its spending is not covered.
 		unseen := freshness.Seconds() * rate
 		assert.Assert(t, most <= allowed()+unseen, "seed %d: %.0f of %.0f", seed, most, allowed()+unseen)
@@ -147,16 +151,16 @@
 // another under sevenfold load: none may spend what the others have spent.
 func TestRestartedInstancesTakeOverWhatOthersKnow(t *testing.T) {
 	for seed := range uint64(20) {
-		f := newFleet(seed, 7)
+		f := newFleet(seed)
 		for i := range f.instances {
-			f.offer(time.Second, 7*rate/20, 20)
+			f.offer(time.Second, 7*rate/20)
 			f.born[i]++
 			f.instances[i] = &Apportioner{}
 			f.instances[i].Set(f.now, map[string]Quota{"w": {Rate: rate, Burst: burst}})
 			f.beacons()
 		}
-		f.offer(8*time.Second, 7*rate/20, 20)
-		most := f.most(window)
+		f.offer(8*time.Second, 7*rate/20)
+		most := f.most()
 		assert.Assert(t, most <= allowed(), "seed %d: %.0f of %.0f", seed, most, allowed())
 	}
 }
@@ -164,8 +168,8 @@
 // TestRestartedFleetServesAtOnce restarts all instances at the same moment.
 func TestRestartedFleetServesAtOnce(t *testing.T) {
 	for seed := range uint64(20) {
-		f := newFleet(seed, 7)
-		f.offer(10*time.Second, 7*rate/20, 20)
+		f := newFleet(seed)
+		f.offer(10*time.Second, 7*rate/20)
 		for i := range f.instances {
 			f.born[i]++
 			f.instances[i] = &Apportioner{}
@@ -173,12 +177,12 @@
 		}
 		f.beacons()
 		passed, offered := len(f.passed), f.offered
-		f.offer(time.Second, 0.8*rate/20, 20)
+		f.offer(time.Second, 0.8*rate/20)
 		passed, offered = len(f.passed)-passed, f.offered-offered
 		assert.Assert(t, passed >= offered*9/10, "seed %d: only %d of %d passed", seed, passed, offered)
-		f.offer(10*time.Second, 7*rate/20, 20)
+		f.offer(10*time.Second, 7*rate/20)
 		// Once, the users' slack covers what nobody could know.
-		most := f.most(window)
+		most := f.most()
 		assert.Assert(t, most <= allowed()+startShare*burst, "seed %d: %.0f", seed, most)
 	}
 }
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
@@ -92,3 +93,17 @@
 	})
 	return a.group.Run()
 }
+
+// Every repeats a piece of work until the context ends.
+func Every(ctx context.Context, interval time.Duration, work func(ctx context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			work(ctx)
+		}
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -204,17 +204,3 @@
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
-
-// every repeats a piece of work until the context ends.
-func every(ctx context.Context, interval time.Duration, work func(ctx context.Context)) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			work(ctx)
-		}
-	}
-}
--- a/internal/controller/courier.go
+++ b/internal/controller/courier.go
@@ -104,46 +104,14 @@
 	c.addresses[store] = address
 }
 
-// sent is a message whose delivery has not been confirmed.
-type sent struct {
-	ended <-chan struct{}
-	since time.Time
-}
-
-// deliver sends messages without waiting for each: the round trip between
-// regions is longer than the time between two messages.
+// deliver sends what a ring holds, in order.
 func (c *couriers) deliver(ctx context.Context, to messenger.Endpoint, ring *carrier.Ring[replicateQuery]) {
-	var window []sent
+	window := messenger.Window{Limit: courierRing, Patience: courierTimeout}
 	for {
 		query, err := ring.Take(ctx)
 		if err != nil {
 			return
 		}
-		window = c.confirm(to, window)
-		dial, cancel := context.WithTimeout(ctx, courierTimeout)
-		ended, err := messenger.Post(dial, c.client, to, methodReplicate, query)
-		cancel()
-		if err == nil {
-			window = append(window, sent{ended: ended, since: time.Now()})
-		}
-	}
-}
-
-// confirm drops delivered messages from the window. When the oldest is overdue,
-// or too many are under way, the connection is given up.
-func (c *couriers) confirm(to messenger.Endpoint, window []sent) []sent {
-	for len(window) > 0 {
-		select {
-		case <-window[0].ended:
-			window = window[1:]
-			continue
-		default:
-		}
-		if len(window) < courierRing && time.Since(window[0].since) < courierTimeout {
-			return window
-		}
-		c.client.Reset(to)
-		return nil
+		messenger.SendThrough(ctx, &window, c.client, to, methodReplicate, query)
 	}
-	return window
 }
--- a/internal/controller/member.go
+++ b/internal/controller/member.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/logger"
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/replicator"
@@ -44,7 +45,7 @@
 		c.found(ctx)
 	}
 	known := time.Now()
-	return every(ctx, joinInterval, func(ctx context.Context) {
+	return conductor.Every(ctx, joinInterval, func(ctx context.Context) {
 		if _, led := c.group.Leader(); led && c.member(c.identity.Store) {
 			known = time.Now()
 			return
--- a/internal/controller/places.go
+++ b/internal/controller/places.go
@@ -64,8 +64,8 @@
 	return known.state != beacon.State
 }
 
-// expire drops silent instances. It reports whether the list changed.
-func (p *places) expire(now time.Time, region string) bool {
+// expire drops silent instances.
+func (p *places) expire(now time.Time, region string) {
 	before := len(p.instances)
 	maps.DeleteFunc(p.instances, func(_ string, i heardInstance) bool {
 		if i.Region != region {
@@ -74,11 +74,9 @@
 		return now.Sub(i.heard) > instanceSilence
 	})
 	maps.DeleteFunc(p.controls, func(_ string, heard time.Time) bool { return now.Sub(heard) > controlMemory })
-	if len(p.instances) == before {
-		return false
+	if len(p.instances) != before {
+		p.revision++
 	}
-	p.revision++
-	return true
 }
 
 // learn notes control instances that were heard. It reports whether any is new.
--- a/internal/controller/servers.go
+++ b/internal/controller/servers.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/logger"
 	"github.com/boragehead/boragehead/internal/registrar"
 )
@@ -174,7 +175,7 @@
 // runSpread passes heartbeats on, notes silent servers, and watches which entry
 // instances come and go.
 func (c *Controller) runSpread(ctx context.Context) error {
-	return every(ctx, spreadInterval, func(ctx context.Context) {
+	return conductor.Every(ctx, spreadInterval, func(ctx context.Context) {
 		now := time.Now()
 		c.mu.Lock()
 		before := c.servers.Revision()
@@ -226,7 +227,7 @@
 func (c *Controller) runExchange(ctx context.Context) error {
 	next := 0
 	c.exchangeAll(ctx)
-	return every(ctx, exchangeInterval, func(ctx context.Context) {
+	return conductor.Every(ctx, exchangeInterval, func(ctx context.Context) {
 		others := c.others()
 		if len(others) == 0 {
 			return
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -165,8 +164,9 @@
 	return p
 }
 
-// ask sends a request and returns the answer with as much of its body as came.
-func (p *path) ask(method, uri, body string, headers ...string) (*http.Response, string, error) {
+// ask sends a request and returns the answer's status, 0 when none came, with as
+// much of its body as came.
+func (p *path) ask(method, uri, body string, headers ...string) (status int, answer string, err error) {
 	request, err := http.NewRequest(method, p.front.URL+uri, strings.NewReader(body))
 	assert.NilError(p.t, err)
 	request.Host = "gateway"
@@ -177,11 +177,11 @@
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, "", err
+		return 0, "", err
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
-	return response, string(text), err
+	return response.StatusCode, string(text), err
 }
 
 // sign makes an answer a server's own.
@@ -248,9 +248,9 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			p := newPath(t, test.route, test.handlers...)
-			response, body, err := p.ask("GET", "/a", "")
+			status, body, err := p.ask("GET", "/a", "")
 			assert.NilError(t, err)
-			assert.Equal(t, response.StatusCode, test.status)
+			assert.Equal(t, status, test.status)
 			assert.Equal(t, body, test.body)
 			assert.Equal(t, p.runs.Load(), test.runs)
 		})
@@ -293,66 +293,6 @@
 	}
 }
 
-func events(from, to int, end bool) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		sign(w, r)
-		w.Header().Set("Content-Type", "text/event-stream")
-		for i := from; i <= to; i++ {
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
-		}
-		_ = http.NewResponseController(w).Flush()
-		if !end {
-			_, _ = io.WriteString(w, "id: 99\nda")
-			_ = http.NewResponseController(w).Flush()
-			panic(http.ErrAbortHandler)
-		}
-	}
-}
-
-func expected(to int) string {
-	var text strings.Builder
-	for i := 1; i <= to; i++ {
-		_, _ = fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", i, i)
-	}
-	return text.String()
-}
-
-func TestStreams(t *testing.T) {
-	plain := definer.Route{Kind: definer.KindStream, Attempts: 2}
-	resumable := definer.Route{Kind: definer.KindStream, Attempts: 2, Resumable: true}
-	resume := func(w http.ResponseWriter, r *http.Request) {
-		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		events(last+1, 6, true)(w, r)
-	}
-	repeats := func(w http.ResponseWriter, r *http.Request) { events(2, 6, true)(w, r) }
-	tests := []struct {
-		name     string
-		route    definer.Route
-		handlers []http.HandlerFunc
-		body     string
-		whole    bool
-	}{
-		{"whole", plain, []http.HandlerFunc{events(1, 6, true)}, expected(6), true},
-		{"cut off in an event", plain, []http.HandlerFunc{events(1, 3, false), resume}, expected(3), false},
-		{"goes on elsewhere", resumable, []http.HandlerFunc{events(1, 3, false), resume}, expected(6), true},
-		{"repeated events are dropped", resumable, []http.HandlerFunc{events(1, 3, false), repeats}, expected(6), true},
-		{"cannot go on", resumable, []http.HandlerFunc{events(1, 3, false), respond(500, "x")}, expected(3), false},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			p := newPath(t, test.route, test.handlers...)
-			response, body, err := p.ask("POST", "/a", "prompt")
-			if response == nil {
-				assert.ErrorContains(t, err, "EOF")
-				return
-			}
-			assert.Equal(t, response.StatusCode, 200)
-			assert.Equal(t, body, test.body)
-			assert.Equal(t, err == nil, test.whole, "%v", err)
-		})
-	}
-}
-
 // TestCallerLeavingEndsTheWork cancels a request while a server works on it.
 func TestCallerLeavingEndsTheWork(t *testing.T) {
 	began, ended := make(chan struct{}), make(chan struct{})
@@ -363,7 +303,7 @@
 		close(ended)
 	})
 	ctx, leave := context.WithCancel(t.Context())
-	request, err := http.NewRequestWithContext(ctx, "POST", p.front.URL+"/a", strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, p.front.URL+"/a", strings.NewReader("body"))
 	assert.NilError(t, err)
 	request.Host = "gateway"
 	request.Header.Set("Id", "r1")
@@ -372,7 +312,10 @@
 		<-began
 		leave()
 	}()
-	_, err = http.DefaultClient.Do(request)
+	response, err := http.DefaultClient.Do(request)
+	if response != nil {
+		_ = response.Body.Close()
+	}
 	assert.ErrorIs(t, err, context.Canceled)
 	<-ended
 }
@@ -385,9 +328,9 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	})
-	response, body, err := p.ask("POST", "/a", "x")
+	status, body, err := p.ask("POST", "/a", "x")
 	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, http.StatusGatewayTimeout)
+	assert.Equal(t, status, http.StatusGatewayTimeout)
 	assert.Equal(t, body, "deadline")
 	assert.Equal(t, p.fleet.spent, 1.0)
 }
@@ -406,69 +349,15 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			response, body, err := p.ask("POST", "/a", "x", test.headers...)
+			status, body, err := p.ask("POST", "/a", "x", test.headers...)
 			assert.NilError(t, err)
-			assert.Equal(t, response.StatusCode, test.status)
+			assert.Equal(t, status, test.status)
 			assert.Equal(t, body, test.reason)
 		})
 	}
 	assert.Equal(t, p.fleet.spent, 0.0, "a request that did not run was charged")
 	p.fleet.view = nil
-	response, _, err := p.ask("POST", "/a", "x")
-	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, 503, "an instance without a definition knows no keys")
-}
-
-// newRelay makes a second gateway, in another region, and lets the first one
-// relay to it.
-func newRelay(t *testing.T, p *path, handlers ...http.HandlerFunc) *path {
-	there := newPath(t, definer.Route{Kind: definer.KindOnce}, handlers...)
-	relays := httptest.NewServer(New(testDialect{}, there.fleet, measurer.New(), retryLimit).Relays())
-	t.Cleanup(relays.Close)
-	p.fleet.away = "south"
-	p.fleet.relay = netip.MustParseAddrPort(relays.Listener.Addr().String())
-	return there
-}
-
-// TestAttemptsAreCountedOverRelays makes servers of both regions fail: together
-// they get no more attempts than the route allows.
-func TestAttemptsAreCountedOverRelays(t *testing.T) {
-	here := newPath(t, definer.Route{Kind: definer.KindIdempotent, Attempts: 2}, respond(200, "too many"))
-	there := newRelay(t, here, respond(500, "a"), respond(500, "b"))
-	response, body, err := here.ask("GET", "/a", "")
+	status, _, err := p.ask("POST", "/a", "x")
 	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, 500)
-	assert.Equal(t, body, "b")
-	assert.Equal(t, here.runs.Load()+there.runs.Load(), int32(2))
-}
-
-func TestRelays(t *testing.T) {
-	once := definer.Route{Kind: definer.KindOnce, Attempts: 1}
-	resumable := definer.Route{Kind: definer.KindStream, Attempts: 2, Resumable: true}
-	resume := func(w http.ResponseWriter, r *http.Request) {
-		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		events(last+1, 6, true)(w, r)
-	}
-	tests := []struct {
-		name        string
-		route       definer.Route
-		here, there http.HandlerFunc
-		status      int
-		body        string
-	}{
-		{"answered there", once, respond(200, "here"), respond(200, "there"), 200, "there"},
-		{"declined there, answered here", once, respond(200, "here"), decline, 200, "here"},
-		{"lost there is not run here", once, respond(200, "here"), hijack(""), 502, "no-answer"},
-		{"stream cut there goes on here", resumable, resume, events(1, 3, false), 200, expected(6)},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			here := newPath(t, test.route, test.here)
-			newRelay(t, here, test.there)
-			response, body, err := here.ask("POST", "/a?q=1", "x")
-			assert.NilError(t, err)
-			assert.Equal(t, response.StatusCode, test.status)
-			assert.Equal(t, body, test.body)
-		})
-	}
+	assert.Equal(t, status, 503, "an instance without a definition knows no keys")
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -91,20 +91,6 @@
 	return append(duties, k.couriers.duties()...)
 }
 
-// every repeats a piece of work until the context ends.
-func every(ctx context.Context, interval time.Duration, work func(ctx context.Context)) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			work(ctx)
-		}
-	}
-}
-
 // HandOver passes leadership on before a graceful shutdown.
 func (k *Keeper) HandOver(ctx context.Context) {
 	const patience = 2 * time.Second
--- a/internal/keeper/ledger.go
+++ b/internal/keeper/ledger.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/granter"
 	"github.com/boragehead/boragehead/internal/replicator"
 	"github.com/boragehead/boragehead/internal/tabler"
@@ -106,7 +107,7 @@
 // renews the planner with every term and proposes, so that nothing decided in
 // one leadership is proposed in another.
 func (k *Keeper) runPlanner(ctx context.Context) error {
-	return every(ctx, planInterval, k.plan)
+	return conductor.Every(ctx, planInterval, k.plan)
 }
 
 func (k *Keeper) plan(ctx context.Context) {
--- a/internal/keeper/revoke.go
+++ b/internal/keeper/revoke.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/gossiper"
 	"github.com/boragehead/boragehead/internal/granter"
 	"github.com/boragehead/boragehead/internal/journaler"
@@ -99,7 +100,7 @@
 
 // runRevoker spreads withdrawals until the log carries them.
 func (k *Keeper) runRevoker(ctx context.Context) error {
-	return every(ctx, revokeInterval, k.spreadRevocations)
+	return conductor.Every(ctx, revokeInterval, k.spreadRevocations)
 }
 
 func (k *Keeper) spreadRevocations(ctx context.Context) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -15,48 +15,6 @@
 	"github.com/boragehead/boragehead/internal/registrar"
 )
 
-// Work is what a request asks of an engine.
-type Work struct {
-	Model string
-	// Prompt and Output are in tokens; Output is the most that may come.
-	Prompt int64
-	Output int64
-	// Expected is how much output the caller expects; 0 when it did not say.
-	Expected int64
-	// Parts make up the prompt, in order. Requests share parts; the last one
-	// belongs to the request itself or to its session.
-	Parts []Part
-}
-
-// Part is a piece of a prompt that engines keep in their caches.
-type Part struct {
-	ID     uint64
-	Tokens int64
-}
-
-// Cost is what the work counts against a quota, in tokens.
-func (w Work) Cost() float64 {
-	return float64(w.Prompt + w.Output)
-}
-
-// expected returns the tokens that are likely to come.
-func (w Work) expected() int64 {
-	if w.Expected <= 0 || w.Expected > w.Output {
-		return w.Output
-	}
-	return w.Expected
-}
-
-// memory returns the tokens that a running request keeps from being dropped. The
-// first part of a prompt is shared by so many that it hardly counts.
-func (w Work) memory() int64 {
-	held := w.Prompt + w.expected()
-	if len(w.Parts) > 1 {
-		held -= w.Parts[0].Tokens
-	}
-	return held
-}
-
 // Request is what a placement depends on.
 type Request struct {
 	ID      uint64
@@ -114,17 +72,6 @@
 	Servers int
 }
 
-// Summary is what other regions learn of a service here.
-type Summary struct {
-	// Servers is how many servers are usable.
-	Servers int `cbor:"s"`
-	// Wait is the shortest predicted time to a first event, without the
-	// reading of the request's own prompt.
-	Wait time.Duration `cbor:"w"`
-	// Token is the shortest predicted time for one token of an answer.
-	Token time.Duration `cbor:"t,omitempty"`
-}
-
 // Load is the work that one instance has at a server.
 type Load struct {
 	Running int32 `cbor:"r"`
@@ -412,82 +359,3 @@
 		}
 	}
 }
-
-// HearRegion takes in what another region says of its services.
-func (p *Placer) HearRegion(now time.Time, region string, services map[string]Summary) {
-	if p.regions == nil {
-		p.regions = map[string]map[string]remote{}
-	}
-	known := map[string]remote{}
-	for name, summary := range services {
-		known[name] = remote{Summary: summary, heard: now}
-	}
-	p.regions[region] = known
-}
-
-// bestRemote returns the other region that would serve a request soonest.
-func (p *Placer) bestRemote(now time.Time, request Request) (best candidate, found bool) {
-	if request.Local {
-		return candidate{}, false
-	}
-	for region, services := range p.regions {
-		known, serves := services[request.Service.Name]
-		if !serves || known.Servers == 0 || now.Sub(known.heard) > remoteFreshness || !request.allows(region) {
-			continue
-		}
-		own := readTime(request.Work.Prompt-sharedTokens(request.Work.Parts), 1)
-		wait := known.Wait + regionTrip + own
-		end := wait + time.Duration(request.Work.expected())*known.Token
-		if late := end - request.Deadline.Sub(now); late > 0 {
-			wait += late
-		}
-		if !found || wait < best.wait {
-			best, found = candidate{region: region, wait: wait, own: own, end: end}, true
-		}
-	}
-	return best, found
-}
-
-// regionTrip is the round trip to another region with the passing on of a
-// request there.
-const regionTrip = 130 * time.Millisecond
-
-func (r Request) allows(region string) bool {
-	for _, tried := range r.TriedRegions {
-		if tried == region {
-			return false
-		}
-	}
-	if !r.Bound {
-		return true
-	}
-	for _, home := range r.Homes {
-		if home == region {
-			return true
-		}
-	}
-	return false
-}
-
-// Summaries returns what other regions may know of the services here.
-func (p *Placer) Summaries(now time.Time) map[string]Summary {
-	summaries := map[string]Summary{}
-	for _, s := range p.servers {
-		if !p.usable(now, s) || s.cold(now) {
-			continue
-		}
-		wait := s.wait(now, 0)
-		known, seen := summaries[s.Service]
-		if !seen || wait < known.Wait {
-			known.Wait = wait
-		}
-		if s.engine {
-			if token := s.runTime(now, Work{Output: 1}); !seen || token < known.Token {
-				known.Token = token
-			}
-		}
-		known.Servers++
-		summaries[s.Service] = known
-	}
-	return summaries
-}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -30,9 +30,9 @@
 	return definer.NewView(d)
 }
 
-func serverNamed(service string, number int) registrar.Server {
+func serverNamed(number int) registrar.Server {
 	return registrar.Server{
-		Name: fmt.Sprintf("%s-%d", service, number), Service: service, FailureDomain: "n", Slots: 64, Born: 1, Counter: 1,
+		Name: fmt.Sprintf("engines-%d", number), Service: "engines", FailureDomain: "n", Slots: 64, Born: 1, Counter: 1,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 80),
 	}
 }
@@ -42,7 +42,7 @@
 	p := &Placer{Self: "a", Region: "north"}
 	var servers []registrar.Server
 	for i := range count {
-		servers = append(servers, serverNamed("engines", i))
+		servers = append(servers, serverNamed(i))
 	}
 	p.Learn(start, newView(engines()), servers)
 	return p
@@ -231,7 +231,7 @@
 // TestColdServersAreWarmedByOneInstance offers load at three instances of a
 // region: together they stay within the rate that the server bears.
 func TestColdServersAreWarmedByOneInstance(t *testing.T) {
-	cold := serverNamed("engines", 1)
+	cold := serverNamed(1)
 	cold.Warmup = 10 * time.Second
 	var fleet []*Placer
 	for _, name := range []string{"a", "b", "c"} {
@@ -285,7 +285,7 @@
 	p.Close(start, []string{"n"})
 	assert.Equal(t, p.Place(start, question(start, 10)).Refused, ReasonNoServer)
 	p.Close(start, nil)
-	p.Learn(start, newView(engines()), []registrar.Server{serverNamed("engines", 0), serverNamed("engines", 1)})
+	p.Learn(start, newView(engines()), []registrar.Server{serverNamed(0), serverNamed(1)})
 	assert.Equal(t, p.Conditions(start)["engines-0"], "cold", "a domain that opens again counts as cold")
 }
 
@@ -327,7 +327,7 @@
 func TestCrowdsPredictQueuesFromRates(t *testing.T) {
 	for _, crowd := range []int{3, 24} {
 		p := &Placer{Self: "a", Region: "north", Crowd: crowd}
-		p.Learn(start, newView(engines()), []registrar.Server{serverNamed("engines", 0)})
+		p.Learn(start, newView(engines()), []registrar.Server{serverNamed(0)})
 		p.servers["engines-0"].others = Load{Running: 20, Pace: 0.9 * readTokens * 1000}
 		wait := p.Place(start, question(start, 10)).Wait
 		assert.Equal(t, wait > 300*time.Millisecond, crowd > 3, "crowd of %d: %s", crowd, wait)
--- a/internal/replicator/manage_test.go
+++ b/internal/replicator/manage_test.go
@@ -11,7 +11,8 @@
 )
 
 // newManagedCluster returns a cluster whose leaders manage the members.
-func newManagedCluster(t *testing.T, seed uint64, size int) *cluster {
+func newManagedCluster(t *testing.T, seed uint64) *cluster {
+	const size = 3
 	c := newCluster(t, seed, size)
 	c.target = size
 	for _, n := range c.nodes {
@@ -75,7 +76,7 @@
 
 func TestWipedVoterComesBack(t *testing.T) {
 	for seed := range uint64(20) {
-		c := newManagedCluster(t, seed, 3)
+		c := newManagedCluster(t, seed)
 		c.accept(1)
 		lost := c.nodes[c.random.IntN(3)]
 		c.wipe(lost)
@@ -91,7 +92,7 @@
 // address, planned (the new one first) and not, twice in a row.
 func TestReplacementTakesTheVoteOfASilentVoter(t *testing.T) {
 	for _, planned := range []bool{true, false} {
-		c := newManagedCluster(t, 7, 3)
+		c := newManagedCluster(t, 7)
 		c.accept(1)
 		for round := range 2 {
 			gone := c.awaitLeader()
@@ -117,7 +118,7 @@
 // the other holder is dark, and lets a store that missed it come back first.
 func TestWipedMinorityForgetsNothing(t *testing.T) {
 	for seed := range uint64(20) {
-		c := newManagedCluster(t, seed, 3)
+		c := newManagedCluster(t, seed)
 		c.accept(1)
 		leader := c.awaitLeader()
 		var behind, other *node
@@ -151,7 +152,7 @@
 // the newest accepted value is what a leader reads.
 func TestAcceptedIsNeverLostWhileMembersChange(t *testing.T) {
 	for seed := range uint64(60) {
-		c := newManagedCluster(t, seed, 3)
+		c := newManagedCluster(t, seed)
 		value := uint64(1)
 		c.accept(value)
 		for range 8 {
@@ -192,7 +193,7 @@
 // TestRefusedWritesAreRetried fills a disk: the store pauses, the others go on,
 // and it takes part again once there is room.
 func TestRefusedWritesAreRetried(t *testing.T) {
-	c := newManagedCluster(t, 3, 3)
+	c := newManagedCluster(t, 3)
 	c.accept(1)
 	full := c.awaitLeader()
 	full.group.Retry(time.Millisecond)
@@ -206,7 +207,7 @@
 // TestAcceptedStateIsShownAtStart restarts all stores: each shows what was
 // accepted before any of them leads.
 func TestAcceptedStateIsShownAtStart(t *testing.T) {
-	c := newManagedCluster(t, 5, 3)
+	c := newManagedCluster(t, 5)
 	c.accept(42)
 	c.run(30)
 	for _, n := range c.nodes {
