placer: the quiet engine reads no long prompts beside more than 8 requests

Predictions for long answers were 6 s late at the median: whenever the quiet engine fell to 28 requests a long prompt came in and held all of them up. Change: beside more than 8 requests it reads no prompt of more than 1,500 tokens.

--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -25,8 +25,11 @@
 	slowShare = 0.06
 	// A quiet server with more than quietRunning requests takes only answers that
 	// are expected to have longAnswer tokens or more. There is one from quietLeast
-	// servers on.
+	// servers on. With more than quietReading requests it reads no prompt of more than
+	// quietPrompt tokens beside them.
 	quietRunning = 28
+	quietReading = 8
+	quietPrompt  = 1500
 	longAnswer   = 450
 	quietLeast   = 3
 )
@@ -50,7 +53,7 @@
 		}
 		s.seen = now
 		next := p.consider(now, s, request, keeper, kept)
-		if s == quiet && s.keepsQuiet(request.Work) {
+		if s == quiet && s.keepsQuiet(request.Work, request.Work.Prompt-next.cached) {
 			continue
 		}
 		next.servers = best.servers + 1
@@ -142,8 +145,12 @@
 
 // keepsQuiet reports whether a quiet server keeps the room that it has left for
 // long answers.
-func (s *server) keepsQuiet(work Work) bool {
-	return work.expected() < longAnswer && s.total().Running > quietRunning
+func (s *server) keepsQuiet(work Work, unread int64) bool {
+	running := s.total().Running
+	if unread > quietPrompt && running > quietReading {
+		return true
+	}
+	return work.expected() < longAnswer && running > quietRunning
 }
 
 // runTime predicts how long the output of a request takes beside the batch and
