runner: a stop waits for the connections that callers keep, and drains its port

Cause: TestPlannedStopsCutNothing failed now and then with EOF. The stop closed idle connections as soon as it had lingered, so a caller that wrote its next request in that moment found it cut; and a connection that waited to be accepted was reset with the port. Ruled out: the stop limit (10 min) and answers broken off (the error came before any byte). A first try waited for new connections as well: a steady load kept the port open and the resets came at the end all the same; not kept.

--- /dev/null
+++ b/internal/conductor/listener_test.go
@@ -0,0 +1,53 @@
+package conductor
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestDrainedListenerServesWhoHasConnected lets callers connect before the
+// server accepts, and drains the listener then.
+func TestDrainedListenerServesWhoHasConnected(t *testing.T) {
+	const callers = 20
+	listener, err := Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	var conns []net.Conn
+	for range callers {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n")
+		assert.NilError(t, err)
+		conns = append(conns, conn)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	})}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	listener.Drain(context.Background())
+	_, err = net.Dial("tcp", listener.Addr().String())
+	assert.ErrorContains(t, err, "refused")
+	assert.NilError(t, server.Shutdown(context.Background()))
+	assert.Assert(t, errors.Is(<-ended, http.ErrServerClosed))
+	for _, conn := range conns {
+		answer, err := io.ReadAll(conn)
+		assert.NilError(t, err)
+		assert.Assert(t, len(answer) > 0, "a connection was cut")
+		_ = conn.Close()
+	}
+}
+
+func TestListenerClosesWithoutDrain(t *testing.T) {
+	listener, err := Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	_, err = listener.Accept()
+	assert.Assert(t, errors.Is(err, net.ErrClosed))
+	assert.NilError(t, listener.Close())
+}
--- a/internal/runner/failures_test.go
+++ b/internal/runner/failures_test.go
@@ -148,16 +148,18 @@
 // load asks for streams without a pause, through whichever instance takes
 // them, and notes every answer that was not whole.
 type load struct {
-	f       *testFleet
-	secret  string
+	f      *testFleet
+	secret string
+	// pause is the time between two requests on a connection.
+	pause   time.Duration
 	whole   atomic.Int64
 	refused atomic.Int64
 	done    chan struct{}
 	wait    sync.WaitGroup
 }
 
-func (f *testFleet) startLoad(secret string) *load {
-	l := &load{f: f, secret: secret, done: make(chan struct{})}
+func (f *testFleet) startLoad(secret string, pause time.Duration) *load {
+	l := &load{f: f, secret: secret, pause: pause, done: make(chan struct{})}
 	for _, gate := range []string{"n1", "n2", "s1", "n1", "n2", "s1"} {
 		l.wait.Go(func() { l.run(gate) })
 	}
@@ -171,6 +173,7 @@
 			return
 		default:
 			l.ask(gate)
+			<-time.After(l.pause)
 		}
 	}
 }
@@ -211,7 +214,7 @@
 	for _, server := range f.servers {
 		server.TokenInterval = 5 * time.Millisecond
 	}
-	l := f.startLoad(secret)
+	l := f.startLoad(secret, 0)
 	for _, k := range f.keepers {
 		f.stops[k.Name]()
 		f.startKeeper(k)
@@ -231,6 +234,31 @@
 	assert.Assert(t, l.whole.Load() > 100, "only %d answers", l.whole.Load())
 }
 
+// TestPausingCallersAreNotCut stops entry instances whose callers keep
+// connections open without a request on them for longer than the stop lingers.
+func TestPausingCallersAreNotCut(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	secret, _ := f.give("roaming", "north")
+	for name := range f.gates {
+		f.eventually("key works at "+name, func() error { return f.wants(name, secret, http.StatusOK, "") })
+	}
+	l := f.startLoad(secret, 2*f.gates["n1"].StopLinger)
+	for range 3 {
+		before := l.whole.Load()
+		f.eventually("callers are at work", func() error {
+			if l.whole.Load() < before+10 {
+				return fmt.Errorf("%d answers", l.whole.Load()-before)
+			}
+			return nil
+		})
+		f.stops["n1"]()
+		f.startGate("n1")
+		f.eventually("n1 is back", func() error { return f.wants("n1", secret, http.StatusOK, "") })
+	}
+	l.stop()
+}
+
 // TestLeavingServerGetsNothingNew lets a server leave while requests come.
 func TestLeavingServerGetsNothingNew(t *testing.T) {
 	t.Parallel()
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -49,6 +49,12 @@
 	defaultStopLimit = 10 * time.Minute
 	// defaultStopLinger outlasts the directories that callers hold.
 	defaultStopLinger = director.TTL + time.Second
+	// stopQuiet is for how long callers have left their open connections unused
+	// before these are closed: a caller may write its next request while an idle
+	// connection is closed, and would find it cut. Callers with work to do reuse
+	// a connection within a second.
+	stopQuiet = time.Second
+	stopPoll  = 50 * time.Millisecond
 )
 
 // Gate is an entry instance.
@@ -65,10 +71,13 @@
 	registry   metrics.Registry
 	stopping   *stopping
 
-	callers  *http.Server
-	backends *http.Server
-	relays   *http.Server
-	mux      *messenger.Mux
+	callers *http.Server
+	// connections are those of callers.
+	connections conductor.Connections
+	listener    atomic.Pointer[conductor.Listener]
+	backends    *http.Server
+	relays      *http.Server
+	mux         *messenger.Mux
 }
 
 // ServeGate serves an entry instance until a signal has stopped it.
@@ -129,6 +138,7 @@
 		Handler:           g.stopping.wrap(callers),
 		ReadHeaderTimeout: acceptor.HeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         g.connections.Track,
 	}
 	announcements := http.NewServeMux()
 	announcements.Handle("POST /v1/backends", &backendHandler{dispatcher: g.dispatcher})
@@ -250,10 +260,11 @@
 }
 
 func (g *Gate) listenCallers() (net.Listener, error) {
-	listener, err := net.Listen("tcp", g.settings.CallerAddress.String())
+	listener, err := conductor.Listen(g.settings.CallerAddress.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "caller-address")
 	}
+	g.listener.Store(listener)
 	files := g.settings.CallerTLS
 	if files == nil {
 		return listener, nil
@@ -294,6 +305,7 @@
 // leased grants back, serve on while callers still hold old directories, and
 // close when the last request has ended.
 func (g *Gate) stop(ctx context.Context) {
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(g.settings.StopLimit, defaultStopLimit))
 	defer cancel()
 	klog.InfoS("stopping", "open-requests", g.auth.Open())
@@ -301,6 +313,12 @@
 	g.fleet.announce(ctx, gossiper.StateStopping)
 	g.ledger.surrender(ctx)
 	pause(ctx, cmp.Or(g.settings.StopLinger, defaultStopLinger))
+	for ctx.Err() == nil && !g.connections.Quiet(time.Now(), began, stopQuiet) {
+		pause(ctx, stopPoll)
+	}
+	if listener := g.listener.Load(); listener != nil {
+		listener.Drain(ctx)
+	}
 	for _, server := range []*http.Server{g.callers, g.relays, g.backends} {
 		if err := server.Shutdown(ctx); err != nil {
 			klog.ErrorS(err, "requests cut at the stop limit")
