follower: of two speakers of a failure domain the one that the domain would choose is believed

Instances that start speak for their failure domain until they hear their neighbours; receivers believed whoever had begun to speak last, and so ignored the right speaker for ever after one speech out of turn. Ruled out: size of the datagrams (those of other regions are alike), homes read wrongly (instances of selatan served it). Change: the first in the order of hashes counts unless it is silent for 2 s; a stopping speaker says so, and the next one is believed at once; a term counted by the receiver takes the place of the sender's time in the quotas. Lines for speakers and for regions that are heard or lost.

--- a/internal/beaconer/beaconer.go
+++ b/internal/beaconer/beaconer.go
@@ -53,7 +53,7 @@
 // Zone tells for whom a beacon speaks.
 type Zone struct {
 	// Since is when the sender began to speak for its failure domain, in
-	// nanoseconds. The newest speaker counts.
+	// nanoseconds.
 	Since int64 `cbor:"s"`
 	// Relays are the relay addresses of its ready instances.
 	Relays []netip.AddrPort `cbor:"r,omitempty"`
--- a/internal/follower/beacons.go
+++ b/internal/follower/beacons.go
@@ -135,8 +135,9 @@
 	near := own
 	near.Loads = f.placer.Loads()
 	speaks := f.speaks(now)
+	farewell := !speaks && f.domain.since != 0 // it stops
 	var region, far beaconer.Beacon
-	if speaks {
+	if speaks || farewell {
 		region = f.speech(now, own)
 		far = region
 		region.Loads = f.placer.NearLoads(now)
@@ -149,15 +150,18 @@
 			if all || f.sequence%domainEvery == 0 {
 				letters = append(letters, letter{to: other.Peer, beacon: near})
 			}
-		case !speaks:
+		case !speaks && !farewell:
 		case other.Region == f.self.Region:
-			if f.sequence%speechEvery == 0 {
+			if farewell || f.sequence%speechEvery == 0 {
 				letters = append(letters, letter{to: other.Peer, beacon: region})
 			}
-		case f.sequence%farSpeechEvery == 0:
+		case farewell || f.sequence%farSpeechEvery == 0:
 			letters = append(letters, letter{to: other.Peer, beacon: far})
 		}
 	}
+	if farewell {
+		f.domain.since = 0
+	}
 	return letters
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -57,6 +57,8 @@
 	supplied bool
 	// conditions of the servers when they were last logged.
 	conditions map[string]string
+	// regions are the services of other regions that were heard then.
+	regions map[[2]string]int
 }
 
 // source is one control instance that is followed.
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -1,16 +1,19 @@
 package follower
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/boragehead/boragehead/internal/beaconer"
 	"github.com/boragehead/boragehead/internal/controller"
 	"github.com/boragehead/boragehead/internal/definer"
 	"github.com/boragehead/boragehead/internal/loader"
+	"github.com/boragehead/boragehead/internal/placer"
 	"github.com/boragehead/boragehead/internal/registrar"
 )
 
@@ -99,3 +102,108 @@
 	_, known = f.Relay("south")
 	assert.Assert(t, !known)
 }
+
+func speech(from string, since int64) beaconer.Beacon {
+	return beaconer.Beacon{
+		State: beaconer.StateReady,
+		Instance: beaconer.Instance{
+			Name: from, Region: "south", FailureDomain: "south-1", Relay: netip.MustParseAddrPort("10.0.0.2:81"),
+		},
+		Services: map[string]placer.Summary{"s": {Servers: 1}},
+		Zone:     &beaconer.Zone{Since: since, Instances: 12},
+	}
+}
+
+// TestSpeakerIsHeardAfterAnotherSpokeOutOfTurn has an instance that has just
+// started speak once for its failure domain, later than the right one began to.
+func TestSpeakerIsHeardAfterAnotherSpokeOutOfTurn(t *testing.T) {
+	first, second := "d", "e"
+	if xxhash.Sum64String(second) < xxhash.Sum64String(first) {
+		first, second = second, first
+	}
+	cases := []struct {
+		name     string
+		speakers []string
+		// last is who is believed in the end.
+		last string
+	}{
+		{"the right one goes on", []string{first, second, first}, first},
+		{"the wrong one was first", []string{second, first}, first},
+		{"the wrong one goes on", []string{first, second, second}, first},
+		{"the right one has fallen silent", []string{first, "", second}, second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f, _, _ := newFollower(t)
+			now := time.Now()
+			since := map[string]int64{first: 1, second: 2}
+			for _, speaker := range c.speakers {
+				if speaker == "" {
+					now = now.Add(speechSilence)
+					continue
+				}
+				now = now.Add(100 * time.Millisecond)
+				f.hear(now, speech(speaker, since[speaker]))
+			}
+			assert.Equal(t, f.zones["south-1"].speaker, c.last)
+			assert.Equal(t, len(f.placer.Regions(now)), 1)
+		})
+	}
+}
+
+// TestRegionStaysHeardWhileAnotherSpeaksOutOfTurn looks at a region for long
+// after a single speech of the wrong instance.
+func TestRegionStaysHeardWhileAnotherSpeaksOutOfTurn(t *testing.T) {
+	f, _, _ := newFollower(t)
+	now := time.Now()
+	f.hear(now, speech("d", 1))
+	f.hear(now, speech("e", 2))
+	for range 20 {
+		now = now.Add(800 * time.Millisecond)
+		f.hear(now, speech("d", 1))
+	}
+	assert.Equal(t, len(f.placer.Regions(now)), 1)
+}
+
+// TestStoppingSpeakerHandsOver lets the speaker of a large fleet say that it
+// stops: the next one is believed at once.
+func TestStoppingSpeakerHandsOver(t *testing.T) {
+	first, second := "d", "e"
+	if xxhash.Sum64String(second) < xxhash.Sum64String(first) {
+		first, second = second, first
+	}
+	f, _, _ := newFollower(t)
+	now := time.Now()
+	f.hear(now, speech(first, 1))
+	stops := speech(first, 1)
+	stops.State = beaconer.StateStopping
+	f.hear(now, stops)
+	f.hear(now, speech(second, 2))
+	assert.Equal(t, f.zones["south-1"].speaker, second)
+}
+
+// TestFarewellGoesToOtherDomains stops an instance that speaks for its domain.
+func TestFarewellGoesToOtherDomains(t *testing.T) {
+	f, _, _ := newFollower(t)
+	f.self.FailureDomain = "north-1"
+	f.state = beaconer.StateReady
+	now := time.Now()
+	for i := range manyInstances {
+		f.hear(now, beaconer.Beacon{State: beaconer.StateReady, Instance: beaconer.Instance{
+			Name: fmt.Sprint("far-", i), Region: "south", FailureDomain: "south-1", Peer: netip.MustParseAddrPort("10.0.0.9:90"),
+		}})
+	}
+	f.due(true)
+	assert.Assert(t, f.domain.since != 0)
+	f.state = beaconer.StateStopping
+	farewells := 0
+	for _, l := range f.due(true) {
+		if l.beacon.Zone != nil && l.beacon.State == beaconer.StateStopping {
+			farewells++
+		}
+	}
+	assert.Equal(t, farewells, manyInstances)
+	for _, l := range f.due(true) {
+		assert.Assert(t, l.beacon.Zone == nil, "a second farewell")
+	}
+}
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -95,6 +95,24 @@
 		}
 	}
 	f.conditions = conditions
+	f.reportRegions(now)
+}
+
+// reportRegions logs which services of other regions can be reached from now on,
+// and which not.
+func (f *Follower) reportRegions(now time.Time) {
+	heard := f.placer.Regions(now)
+	for place, servers := range heard {
+		if _, before := f.regions[place]; !before {
+			klog.InfoS("region", "region", place[0], "service", place[1], "heard", true, "servers", servers)
+		}
+	}
+	for place := range f.regions {
+		if _, still := heard[place]; !still {
+			klog.InfoS("region", "region", place[0], "service", place[1], "heard", false)
+		}
+	}
+	f.regions = heard
 }
 
 func (f *Follower) follow(ctx context.Context, now time.Time, address string) {
--- a/internal/follower/zones.go
+++ b/internal/follower/zones.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/apportioner"
 	"github.com/boragehead/boragehead/internal/beaconer"
@@ -20,11 +21,33 @@
 // and still be expected to speak for it.
 const speakerSilence = time.Second
 
+// speechSilence is how long the speaker of another failure domain may be unheard
+// before any other one of that domain is believed: more than two speeches to other
+// regions.
+const speechSilence = 2 * time.Second
+
 // zone is another failure domain as its speaker tells of it.
 type zone struct {
 	beaconer.Zone
-	region string
-	heard  time.Time
+	region  string
+	speaker string
+	heard   time.Time
+	// term counts the speakers that were believed, one after another.
+	term int64
+}
+
+// believes reports whether a speech is taken in. Instances that have just
+// started, or have not heard their neighbours for a while, speak out of turn: of
+// two speakers the one that the whole domain would choose counts, until it falls
+// silent or says that it stops.
+func (z zone) believes(now time.Time, beacon beaconer.Beacon) bool {
+	switch {
+	case beacon.Name == z.speaker:
+		return beacon.Zone.Since >= z.Since
+	case z.speaker == "" || now.Sub(z.heard) >= speechSilence:
+		return true
+	}
+	return xxhash.Sum64String(beacon.Name) < xxhash.Sum64String(z.speaker)
 }
 
 // domain is what this instance knows of its own failure domain, to speak for it.
@@ -73,14 +96,21 @@
 	for name, other := range f.instances {
 		near := other.FailureDomain == f.self.FailureDomain && other.state == beaconer.StateReady
 		if near && now.Sub(other.heard) < speakerSilence && xxhash.Sum64String(name) < own {
+			if f.domain.since != 0 {
+				klog.InfoS("speaks no longer for its failure domain", "domain", f.self.FailureDomain, "speaker", name)
+			}
 			f.domain.since = 0
 			return false
 		}
 	}
+	if f.state != beaconer.StateReady {
+		return false
+	}
 	if f.domain.since == 0 {
 		f.domain.since = now.UnixNano()
+		klog.InfoS("speaks for its failure domain", "domain", f.self.FailureDomain)
 	}
-	return f.state == beaconer.StateReady
+	return true
 }
 
 // speech returns the beacon of the whole failure domain. The lock must be held.
@@ -112,17 +142,26 @@
 // held.
 func (f *Follower) hearZone(now time.Time, beacon beaconer.Beacon) {
 	name := "domain/" + beacon.FailureDomain
-	if known := f.zones[beacon.FailureDomain]; known.Since > beacon.Zone.Since {
+	known := f.zones[beacon.FailureDomain]
+	if !known.believes(now, beacon) {
 		return
 	}
-	f.zones[beacon.FailureDomain] = zone{Zone: *beacon.Zone, region: beacon.Region, heard: now}
+	next := zone{Zone: *beacon.Zone, region: beacon.Region, speaker: beacon.Name, heard: now, term: known.term}
+	if known.speaker != beacon.Name || known.Since != beacon.Zone.Since {
+		next.term++
+		klog.InfoS("failure domain", "domain", beacon.FailureDomain, "speaker", beacon.Name, "before", known.speaker, "instances", beacon.Zone.Instances)
+	}
+	if beacon.State != beaconer.StateReady {
+		next.heard = time.Time{} // the next one is believed at once
+	}
+	f.zones[beacon.FailureDomain] = next
 	for other, known := range f.instances {
 		if known.FailureDomain == beacon.FailureDomain {
 			f.quotas.Forget(other) // it is counted in the sum
 		}
 	}
 	f.quotas.Hear(now, apportioner.Word{
-		Name: name, Instances: beacon.Zone.Instances, Incarnation: beacon.Zone.Since, Spent: beacon.Spent, Levels: beacon.Levels,
+		Name: name, Instances: beacon.Zone.Instances, Incarnation: next.term, Spent: beacon.Spent, Levels: beacon.Levels,
 	})
 	if beacon.Region == f.self.Region {
 		f.placer.HearLoads(now, name, false, beacon.Loads)
--- a/internal/placer/region.go
+++ b/internal/placer/region.go
@@ -25,6 +25,20 @@
 	p.regions[region] = known
 }
 
+// Regions tells for every service of another region that was heard lately how
+// many servers it has there. Keys are the region and the service.
+func (p *Placer) Regions(now time.Time) map[[2]string]int {
+	heard := map[[2]string]int{}
+	for region, services := range p.regions {
+		for service, known := range services {
+			if now.Sub(known.heard) <= remoteFreshness {
+				heard[[2]string{region, service}] = known.Servers
+			}
+		}
+	}
+	return heard
+}
+
 // bestRemote returns the other region that would serve a request soonest.
 func (p *Placer) bestRemote(now time.Time, request Request) (best candidate, found bool) {
 	if request.Local {
