placer: instances tell each other which prompts they had read where

An instance knew only its own placements and took for granted that the server that hashing gives a subject keeps it; where that one was busy, each of 24 instances had the subject read at another server.

--- a/internal/beaconer/beaconer.go
+++ b/internal/beaconer/beaconer.go
@@ -43,6 +43,8 @@
 	Levels map[string]float64 `cbor:"e,omitempty"`
 	// Loads is the work that it has at each backend server of its region.
 	Loads map[string]placer.Load `cbor:"l,omitempty"`
+	// Readings are the prompts that were lately placed where they were not kept.
+	Readings []placer.Reading `cbor:"k,omitempty"`
 	// Services is what its region can do.
 	Services map[string]placer.Summary `cbor:"v,omitempty"`
 	// Zone, unless nil, makes the beacon one of the sender's whole failure
--- a/internal/follower/beacons.go
+++ b/internal/follower/beacons.go
@@ -27,6 +27,8 @@
 	domainEvery    = 2
 	speechEvery    = 4
 	farSpeechEvery = 8
+	// readingRepeats is in how many beacons a reading is told: one may be lost.
+	readingRepeats = 2
 	// instanceMemory is how long a silent entry instance is sent beacons.
 	instanceMemory = 30 * time.Second
 )
@@ -114,6 +116,7 @@
 	far.Spent, far.Levels = f.quotas.Spent(), f.quotas.Levels()
 	near := far
 	near.Loads = f.placer.Loads()
+	near.Readings = f.placer.Readings(now, readingRepeats*beaconInterval, false)
 	far.Services = f.placer.Summaries(now)
 	var letters []letter
 	for _, other := range f.instances {
@@ -134,6 +137,7 @@
 	own.Spent, own.Levels = f.quotas.Spent(), f.quotas.Levels()
 	near := own
 	near.Loads = f.placer.Loads()
+	near.Readings = f.placer.Readings(now, readingRepeats*domainEvery*beaconInterval, false)
 	speaks := f.speaks(now)
 	farewell := !speaks && f.domain.since != 0 // it stops
 	var region, far beaconer.Beacon
@@ -141,6 +145,7 @@
 		region = f.speech(now, own)
 		far = region
 		region.Loads = f.placer.NearLoads(now)
+		region.Readings = f.placer.Readings(now, readingRepeats*speechEvery*beaconInterval, true)
 		far.Services = f.placer.Summaries(now)
 	}
 	var letters []letter
@@ -186,6 +191,7 @@
 	})
 	if beacon.Region == f.self.Region {
 		f.placer.HearLoads(now, beacon.Name, near, beacon.Loads)
+		f.placer.HearReadings(now, near, beacon.Readings)
 		return
 	}
 	if beacon.State == beaconer.StateReady {
--- a/internal/follower/zones.go
+++ b/internal/follower/zones.go
@@ -165,6 +165,7 @@
 	})
 	if beacon.Region == f.self.Region {
 		f.placer.HearLoads(now, name, false, beacon.Loads)
+		f.placer.HearReadings(now, false, beacon.Readings)
 		return
 	}
 	f.placer.HearRegion(now, beacon.Region, beacon.Services)
--- a/internal/placer/cache.go
+++ b/internal/placer/cache.go
@@ -29,17 +29,26 @@
 // touch notes that an engine reads a prompt, and drops what it then has no
 // room for.
 func (c *cache) touch(parts []Part, room int64) {
+	for _, part := range parts {
+		c.put(part)
+	}
+	c.trim(room)
+}
+
+// put notes one part as the last used.
+func (c *cache) put(part Part) {
 	if c.parts == nil {
 		c.parts = map[uint64]*list.Element{}
 	}
-	for _, part := range parts {
-		if known, kept := c.parts[part.ID]; kept {
-			c.order.MoveToFront(known)
-			continue
-		}
-		c.parts[part.ID] = c.order.PushFront(part)
-		c.tokens += part.Tokens
+	if known, kept := c.parts[part.ID]; kept {
+		c.order.MoveToFront(known)
+		return
 	}
+	c.parts[part.ID] = c.order.PushFront(part)
+	c.tokens += part.Tokens
+}
+
+func (c *cache) trim(room int64) {
 	for c.tokens > room && c.order.Len() > 0 {
 		oldest := c.order.Remove(c.order.Back()).(Part)
 		delete(c.parts, oldest.ID)
@@ -48,13 +57,15 @@
 }
 
 // longest returns the tokens of the longest beginning of a prompt that is kept.
+// A part is only read after those before it, so the last one that is known tells
+// of all.
 func (c *cache) longest(parts []Part) int64 {
-	total := int64(0)
+	total, kept := int64(0), int64(0)
 	for _, part := range parts {
-		if _, kept := c.parts[part.ID]; !kept {
-			break
-		}
 		total += part.Tokens
+		if _, known := c.parts[part.ID]; known {
+			kept = total
+		}
 	}
-	return total
+	return kept
 }
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -157,11 +157,16 @@
 // the prompts that keep coming.
 func (s *server) runTime(now time.Time, work Work) time.Duration {
 	step := stepTime + time.Duration(s.total().Running+1)*slotTime
-	reading := (s.pace.rate(now) + s.others.Pace) / (readTokens * 1000)
+	reading := s.readShare(now)
 	free := 1 - min(reading, mostReading)
 	return time.Duration(float64(work.expected()) * float64(step) / free * s.speed)
 }
 
+// readShare is the part of a server's time that the prompts of all instances take.
+func (s *server) readShare(now time.Time) float64 {
+	return (s.pace.rate(now) + float64(s.others.Pace)) / (readTokens * 1000)
+}
+
 // mostReading bounds the part of an engine's time that is taken as spent on
 // prompts; decoding always gets a part.
 const mostReading = 0.85
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -80,7 +80,7 @@
 	// Memory is what running requests hold, in tokens.
 	Memory int64 `cbor:"m"`
 	// Pace is the tokens a second that were sent to be read lately.
-	Pace float64 `cbor:"c,omitempty"`
+	Pace int64 `cbor:"c,omitempty"`
 }
 
 func (l *Load) add(other Load) {
@@ -111,6 +111,8 @@
 	regions  map[string]map[string]remote
 	closed   map[string]bool
 	reopened map[string]time.Time
+	// readings are told to other instances, the newest last.
+	readings []heardReading
 }
 
 // run is a request that a server works on.
@@ -250,7 +252,8 @@
 	s.pace.add(now, float64(unread))
 	s.own.add(load)
 	s.sent = now
-	s.cache.touch(request.Work.Parts, cacheTokens(request.Service))
+	p.noteReading(now, s, request.Work.Parts)
+	s.cache.touch(request.Work.Parts, s.room)
 	p.running[request.ID] = &run{server: s.Name, load: load, started: now, wait: best.wait}
 	decision := Decision{Server: &s.Server, Wait: best.wait, End: best.end, Cached: best.cached, Servers: best.servers}
 	if best.source != nil {
@@ -311,7 +314,7 @@
 	for name, s := range p.servers {
 		if s.own.Running > 0 {
 			load := s.own
-			load.Pace = s.pace.rate(s.seen)
+			load.Pace = int64(s.pace.rate(s.seen))
 			loads[name] = load
 		}
 	}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -328,7 +328,7 @@
 	for _, crowd := range []int{3, 24} {
 		p := &Placer{Self: "a", Region: "north", Crowd: crowd}
 		p.Learn(start, newView(engines()), []registrar.Server{serverNamed(0)})
-		p.servers["engines-0"].others = Load{Running: 20, Pace: 0.9 * readTokens * 1000}
+		p.servers["engines-0"].others = Load{Running: 20, Pace: int64(0.9 * readTokens * 1000)}
 		wait := p.Place(start, question(start, 10)).Wait
 		assert.Equal(t, wait > 300*time.Millisecond, crowd > 3, "crowd of %d: %s", crowd, wait)
 	}
--- a/internal/placer/region.go
+++ b/internal/placer/region.go
@@ -55,7 +55,7 @@
 		if late := end - request.Deadline.Sub(now); late > 0 {
 			wait += late
 		}
-		if !found || wait < best.wait {
+		if !found || wait < best.wait || wait == best.wait && region < best.region {
 			best, found = candidate{region: region, wait: wait, own: own, end: end}, true
 		}
 	}
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -30,6 +30,8 @@
 	// speed is the observed time to a first event over the predicted one.
 	speed float64
 	cache cache
+	// room is how much it is expected to keep of earlier prompts, in tokens.
+	room int64
 
 	// failures in a row, the share of failures lately, and until when the
 	// server is set aside for them.
@@ -122,7 +124,7 @@
 	if !s.crowded {
 		return 0
 	}
-	busy := min((s.pace.rate(now)+s.others.Pace)/(readTokens*1000), mostBusy)
+	busy := min(s.readShare(now), mostBusy)
 	return int64(busy / (1 - busy) * typicalPrompt / 2)
 }
 
@@ -202,6 +204,7 @@
 	known.crowded = p.Crowd >= manyPlacing
 	if service, defined := view.Service(said.Service); defined {
 		known.engine = service.Engine != nil
+		known.room = cacheTokens(service)
 		if reopened := p.reopened[said.FailureDomain]; !reopened.IsZero() {
 			if until := reopened.Add(service.Warmup); until.After(known.coldUntil) {
 				known.coldUntil = until
