emulator, experimenter: engines in virtual time, and policies compared on a load pattern

The experimenter plays arrivals through real placers, one for each entry instance, which hear of each other as late as beacons bring it; callers come back as told. Three baselines take the placer's place. boragehead experiment prints a table or JSON; three patterns stand in examples/patterns.

--- a/cmd/boragehead/main.go
+++ b/cmd/boragehead/main.go
@@ -25,6 +25,7 @@
 			statusCommand(),
 			reportCommand(),
 			certificatesCommand(),
+			experimentCommand(),
 		},
 	})
 }
--- /dev/null
+++ b/internal/experimenter/experimenter.go
@@ -0,0 +1,67 @@
+package experimenter
+
+import (
+	"errors"
+	"slices"
+	"sync"
+
+	"github.com/gravitational/trace"
+
+	"github.com/boragehead/boragehead/internal/loader"
+)
+
+// ErrPattern marks patterns that contradict themselves.
+var ErrPattern = errors.New("pattern contradicts itself")
+
+// Load reads and checks a pattern file.
+func Load(path string) (Pattern, error) {
+	pattern, err := loader.Load[Pattern](path)
+	if err != nil {
+		return pattern, err
+	}
+	return pattern, trace.Wrap(pattern.check(), path)
+}
+
+// check finds names that are not regions.
+func (p Pattern) check() error {
+	var names []string
+	for _, r := range p.Regions {
+		names = append(names, r.Name)
+	}
+	for _, kind := range p.Kinds {
+		for _, home := range kind.Homes {
+			if !slices.Contains(names, home) {
+				return trace.Wrap(ErrPattern, "kinds.%s.homes: no region %q", kind.Name, home)
+			}
+		}
+	}
+	for _, outage := range p.Outages {
+		if !slices.Contains(names, outage.Region) {
+			return trace.Wrap(ErrPattern, "outages: no region %q", outage.Region)
+		}
+	}
+	return nil
+}
+
+// Run plays a pattern once for each policy and seed. Results come in the order
+// of policies and then seeds; the same input has the same results.
+func Run(pattern Pattern, policies []string, seeds []uint64, plays int) ([]Result, error) {
+	for _, policy := range policies {
+		if !slices.Contains(Policies(), policy) {
+			return nil, trace.Wrap(ErrPolicy, "%q: use one of %v", policy, Policies())
+		}
+	}
+	results := make([]Result, len(policies)*len(seeds))
+	failures := make([]error, len(results))
+	slots := make(chan struct{}, max(plays, 1))
+	var wait sync.WaitGroup
+	for i := range results {
+		wait.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			results[i], failures[i] = play(pattern, policies[i/len(seeds)], seeds[i%len(seeds)])
+		})
+	}
+	wait.Wait()
+	return results, errors.Join(failures...)
+}
--- /dev/null
+++ b/internal/experimenter/experimenter_test.go
@@ -0,0 +1,130 @@
+package experimenter
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/boragehead/boragehead/internal/loader"
+)
+
+const examples = "../../examples/patterns/"
+
+func pattern(t *testing.T, name string) Pattern {
+	p, err := Load(examples + name + ".yaml")
+	assert.NilError(t, err)
+	return p
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob(examples + "*.yaml")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		_, err := Load(file)
+		assert.NilError(t, err, file)
+	}
+}
+
+func TestFaultsOfPatternsNameFieldAndPlace(t *testing.T) {
+	text, err := os.ReadFile(examples + "small.yaml")
+	assert.NilError(t, err)
+	cases := []struct {
+		name, old, replacement string
+		kind                   error
+		says                   []string
+	}{
+		{"unknown field", "slots: 64", "slot: 64", loader.ErrInvalid, []string{"slot", "5"}},
+		{"no time", "duration: 20s", "duration: 0s", loader.ErrInvalid, []string{"duration", "more than"}},
+		{"mean above the most", "{mean: 630, spread: 1, most: 3300}", "{mean: 630, spread: 1, most: 33}", loader.ErrInvalid, []string{"most"}},
+		{"same name twice", "name: question", "name: draft", loader.ErrInvalid, []string{"kinds"}},
+		{"unknown home", "    hint: 0.5\n", "    hint: 0.5\n    homes: [west]\n", ErrPattern, []string{"homes", "west"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			changed := strings.Replace(string(text), c.old, c.replacement, 1)
+			assert.Assert(t, changed != string(text))
+			file := filepath.Join(t.TempDir(), "pattern.yaml")
+			assert.NilError(t, os.WriteFile(file, []byte(changed), 0o600))
+			_, err := Load(file)
+			assert.Assert(t, errors.Is(err, c.kind), "%v", err)
+			for _, part := range c.says {
+				assert.ErrorContains(t, err, part)
+			}
+		})
+	}
+}
+
+func TestUnknownPolicyIsNamed(t *testing.T) {
+	_, err := Run(pattern(t, "small"), []string{"guess"}, []uint64{1}, 1)
+	assert.Assert(t, errors.Is(err, ErrPolicy))
+	assert.ErrorContains(t, err, "guess")
+}
+
+// TestSameSeedHasTheSameResult also plays several seeds at once.
+func TestSameSeedHasTheSameResult(t *testing.T) {
+	p := pattern(t, "small")
+	p.Duration = 4 * time.Second
+	together, err := Run(p, []string{PolicyPlacer, PolicyPrefix}, []uint64{1, 2}, 4)
+	assert.NilError(t, err)
+	alone, err := Run(p, []string{PolicyPlacer}, []uint64{2}, 1)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, alone[0], together[1])
+	assert.Assert(t, together[0].Worth != together[1].Worth)
+	assert.Equal(t, together[2].Policy, PolicyPrefix)
+}
+
+// TestEveryRequestIsCounted adds up what became of the requests.
+func TestEveryRequestIsCounted(t *testing.T) {
+	p := pattern(t, "crash")
+	p.Duration = 8 * time.Second
+	results, err := Run(p, []string{PolicyPlacer}, []uint64{1}, 1)
+	assert.NilError(t, err)
+	all := results[0].Kinds[len(results[0].Kinds)-1]
+	arrivals := newDrawer(p, 1).arrivals()
+	assert.Equal(t, all.Asked, len(arrivals))
+	assert.Equal(t, all.Asked, all.InTime+all.Late+all.Refused+all.Failed)
+	assert.Assert(t, all.Failed > 0, "the crash failed nothing")
+	sum := 0
+	for _, window := range results[0].Windows {
+		sum += window.Asked
+	}
+	assert.Equal(t, sum, all.Asked)
+}
+
+// TestPlacerServesMoreThanBaselines replays twice the load that a region can
+// serve.
+func TestPlacerServesMoreThanBaselines(t *testing.T) {
+	p := pattern(t, "small")
+	p.Duration = 10 * time.Second
+	results, err := Run(p, Policies(), []uint64{1}, 4)
+	assert.NilError(t, err)
+	for _, baseline := range results[1:] {
+		assert.Assert(t, results[0].Worth > baseline.Worth, "%s: %.3f of %.3f", baseline.Policy, baseline.Worth, results[0].Worth)
+	}
+}
+
+func TestTableNamesAllParts(t *testing.T) {
+	p := pattern(t, "small")
+	p.Duration = 2 * time.Second
+	results, err := Run(p, []string{PolicyPlacer}, []uint64{1}, 1)
+	assert.NilError(t, err)
+	var table bytes.Buffer
+	assert.NilError(t, WriteTable(&table, results))
+	for _, part := range []string{"policy placer, seed 1", "draft", "question largest tenth", "north", "engines of north"} {
+		assert.Assert(t, strings.Contains(table.String(), part), part)
+	}
+}
+
+func TestLoadFollowsItsSteps(t *testing.T) {
+	r := Region{Load: []Step{{At: time.Second, Factor: 2}, {At: 3 * time.Second, Factor: 0.5}}}
+	for after, want := range map[time.Duration]float64{0: 1, time.Second: 2, 2 * time.Second: 2, 4 * time.Second: 0.5} {
+		assert.Equal(t, r.at(after), want)
+	}
+}
--- /dev/null
+++ b/internal/experimenter/policy.go
@@ -0,0 +1,155 @@
+package experimenter
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/boragehead/boragehead/internal/definer"
+	"github.com/boragehead/boragehead/internal/placer"
+	"github.com/boragehead/boragehead/internal/registrar"
+)
+
+// Policy decides on requests in one entry instance. The placer is one.
+type Policy interface {
+	Learn(now time.Time, view *definer.View, servers []registrar.Server)
+	Place(now time.Time, request placer.Request) placer.Decision
+	Began(now time.Time, id uint64)
+	Done(now time.Time, id uint64, outcome placer.Outcome)
+	Loads() map[string]placer.Load
+	NearLoads(now time.Time) map[string]placer.Load
+	HearLoads(now time.Time, name string, near bool, loads map[string]placer.Load)
+	Readings(now time.Time, within time.Duration, domain bool) []placer.Reading
+	HearReadings(now time.Time, near bool, readings []placer.Reading)
+	Summaries(now time.Time) map[string]placer.Summary
+	HearRegion(now time.Time, region string, services map[string]placer.Summary)
+}
+
+// ErrPolicy means that no policy has a name.
+var ErrPolicy = errors.New("unknown policy")
+
+// seat is where a policy decides.
+type seat struct {
+	name, region, domain string
+	crowd                int
+	number               int
+}
+
+// The policies.
+const (
+	PolicyPlacer      = "placer"
+	PolicyRoundRobin  = "round-robin"
+	PolicyLeastLoaded = "least-loaded"
+	PolicyPrefix      = "prefix"
+)
+
+// Policies returns the names of all policies.
+func Policies() []string {
+	return []string{PolicyPlacer, PolicyRoundRobin, PolicyLeastLoaded, PolicyPrefix}
+}
+
+func newPolicy(name string, at seat) (Policy, error) {
+	own := &placer.Placer{Self: at.name, Region: at.region, FailureDomain: at.domain, Crowd: at.crowd}
+	switch name {
+	case PolicyPlacer:
+		return own, nil
+	case PolicyRoundRobin:
+		return &baseline{Placer: own, choose: roundRobin, next: at.number}, nil
+	case PolicyLeastLoaded:
+		return &baseline{Placer: own, choose: leastLoaded}, nil
+	case PolicyPrefix:
+		return &baseline{Placer: own, choose: byPrefix}, nil
+	}
+	return nil, ErrPolicy
+}
+
+// baseline never refuses and never leaves the region. It hears of others' loads
+// like the placer, whose place in the fleet it takes.
+type baseline struct {
+	*placer.Placer
+	choose  func(b *baseline, request placer.Request) int
+	servers []registrar.Server
+	next    int
+	running map[uint64]string
+	own     map[string]placer.Load
+	others  map[string]map[string]placer.Load
+}
+
+func (b *baseline) Learn(_ time.Time, _ *definer.View, servers []registrar.Server) {
+	b.servers = slices.SortedFunc(slices.Values(servers), func(x, y registrar.Server) int {
+		if x.Name < y.Name {
+			return -1
+		}
+		return 1
+	})
+	b.running, b.own = map[uint64]string{}, map[string]placer.Load{}
+	b.others = map[string]map[string]placer.Load{}
+}
+
+func (b *baseline) Place(_ time.Time, request placer.Request) placer.Decision {
+	if len(b.servers) == 0 || request.Bound && !slices.Contains(request.Homes, b.Region) {
+		return placer.Decision{Refused: placer.ReasonNoServer, RetryAfter: time.Second}
+	}
+	chosen := &b.servers[b.choose(b, request)]
+	b.running[request.ID] = chosen.Name
+	load := b.own[chosen.Name]
+	load.Running++
+	b.own[chosen.Name] = load
+	return placer.Decision{Server: chosen, Servers: len(b.servers)}
+}
+
+func (b *baseline) Began(time.Time, uint64) {}
+
+func (b *baseline) Done(_ time.Time, id uint64, _ placer.Outcome) {
+	name, known := b.running[id]
+	if !known {
+		return
+	}
+	delete(b.running, id)
+	load := b.own[name]
+	load.Running--
+	b.own[name] = load
+}
+
+func (b *baseline) Loads() map[string]placer.Load { return cloneLoads(b.own) }
+
+func (b *baseline) NearLoads(time.Time) map[string]placer.Load { return b.Loads() }
+
+func (b *baseline) HearLoads(_ time.Time, name string, _ bool, loads map[string]placer.Load) {
+	b.others[name] = loads
+}
+
+func cloneLoads(loads map[string]placer.Load) map[string]placer.Load {
+	clone := make(map[string]placer.Load, len(loads))
+	for name, load := range loads {
+		clone[name] = load
+	}
+	return clone
+}
+
+func roundRobin(b *baseline, _ placer.Request) int {
+	b.next++
+	return b.next % len(b.servers)
+}
+
+func leastLoaded(b *baseline, _ placer.Request) int {
+	best, least := 0, int32(0)
+	for i, server := range b.servers {
+		running := b.own[server.Name].Running
+		for _, loads := range b.others {
+			running += loads[server.Name].Running
+		}
+		if i == 0 || running < least {
+			best, least = i, running
+		}
+	}
+	return best
+}
+
+func byPrefix(b *baseline, request placer.Request) int {
+	parts := request.Work.Parts
+	if len(parts) < 2 {
+		return roundRobin(b, request)
+	}
+	return int(parts[len(parts)-2].ID * 0x9e3779b97f4a7c15 >> 33 % uint64(len(b.servers)))
+}
--- a/internal/loader/load.go
+++ b/internal/loader/load.go
@@ -27,6 +27,8 @@
 	"name":     "use 1 to 63 of a-z, 0-9 and '-'",
 	"min":      "needs at least %s",
 	"max":      "at most %s are allowed",
+	"gt":       "must be more than %s",
+	"gtfield":  "must be more than %s",
 	"gte":      "must be %s or more",
 	"lte":      "must be %s or less",
 	"unique":   "each %s may be used once",
