placer: only prompts that are known to be kept count as kept

Change: what counts as kept is what was placed or told of; the server that hashing gives is only preferred for the first reading. The quiet server takes what no other can, and streams that are resumed.

--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -34,37 +34,69 @@
 	quietLeast   = 3
 )
 
+// surroundings are what all candidates for a request are compared by.
+type surroundings struct {
+	// keeper is known to keep the most of the prompt, and kept is how much.
+	keeper *server
+	kept   int64
+	// home should read the shared parts if nobody is known to keep them.
+	home   *server
+	shared int64
+	// quiet is the server that keeps room for long answers.
+	quiet *server
+	// enough is the wait below which all count alike.
+	enough time.Duration
+}
+
+func (p *Placer) surroundings(now time.Time, request Request) surroundings {
+	around := surroundings{
+		quiet:  p.quiet(now, request.Service),
+		enough: time.Duration(float64(request.Objective.Sub(now)) * stayShare),
+	}
+	around.keeper, around.kept = p.longest(now, request)
+	around.home, around.shared = p.home(now, request, around.kept)
+	return around
+}
+
 // bestLocal returns the server of this region that would serve a request best:
 // in time, and then at the lowest price.
 func (p *Placer) bestLocal(now time.Time, request Request) candidate {
-	var best candidate
+	var best, reserve candidate
 	if request.Bound && !slices.Contains(request.Homes, p.Region) {
 		return best
 	}
-	keeper, kept := p.keeper(now, request)
-	quiet := p.quiet(now, request.Service)
-	enough := time.Duration(float64(request.Objective.Sub(now)) * stayShare)
+	around := p.surroundings(now, request)
+	count := 0
 	for _, s := range p.servers {
-		if s.Service != request.Service.Name || slices.Contains(request.Tried, s.Name) || !p.usable(now, s) {
-			continue
-		}
-		if s.cold(now) && !p.mayWarm(now, s, request.Service) {
+		if !p.mayTake(now, s, request) {
 			continue
 		}
+		count++
 		s.seen = now
-		next := p.consider(now, s, request, keeper, kept)
-		if s == quiet && s.keepsQuiet(request.Work, request.Work.Prompt-next.cached) {
+		next := p.consider(now, s, request, around)
+		if s == around.quiet && !request.Started && s.keepsQuiet(request.Work, request.Work.Prompt-next.cached) {
+			reserve = next // taken if there is no other
 			continue
 		}
-		next.servers = best.servers + 1
-		if best.server == nil || next.before(best, enough) {
+		if best.server == nil || next.before(best, around.enough) {
 			best = next
 		}
-		best.servers = next.servers
 	}
+	if best.server == nil {
+		best = reserve
+	}
+	best.servers = count
 	return best
 }
 
+// mayTake reports whether a server may get a request now.
+func (p *Placer) mayTake(now time.Time, s *server, request Request) bool {
+	if s.Service != request.Service.Name || slices.Contains(request.Tried, s.Name) || !p.usable(now, s) {
+		return false
+	}
+	return !s.cold(now) || p.mayWarm(now, s, request.Service)
+}
+
 // before reports whether a candidate is better than another. Waits below what
 // is enough count alike.
 func (c candidate) before(other candidate, enough time.Duration) bool {
@@ -80,25 +112,20 @@
 
 // consider predicts how one server would serve a request, with a copy of what
 // the keeper has of its prompt if that helps.
-func (p *Placer) consider(now time.Time, s *server, request Request, keeper *server, kept int64) candidate {
-	own := s.cache.longest(request.Work.Parts)
+func (p *Placer) consider(now time.Time, s *server, request Request, around surroundings) candidate {
 	engine := request.Service.Engine
-	next := candidate{server: s}
-	if s == keeper {
-		if other, known := p.longest(now, request); engine != nil && engine.Moves && known-own >= copyLeast {
-			next.source = other // what the keeper should have may never have been read there
-		}
-		own = max(own, kept)
+	next := candidate{server: s, cached: s.cache.longest(request.Work.Parts)}
+	if around.home != nil && s != around.home {
+		next.price = time.Duration(around.shared) * copyPrice
 	}
-	next.cached = own
-	if missing := kept - own; keeper != nil && missing >= copyLeast {
-		if engine != nil && engine.Moves {
-			next.cached, next.source = kept, keeper
-			next.price = time.Duration(missing) * copyPrice
-			next.wait = copyTime
-		} else {
-			next.price = time.Duration(missing) * readPrice
-		}
+	switch missing := around.kept - next.cached; {
+	case around.keeper == nil || missing < copyLeast:
+	case engine != nil && engine.Moves:
+		next.cached, next.source = around.kept, around.keeper
+		next.price += time.Duration(missing) * copyPrice
+		next.wait = copyTime
+	default:
+		next.price += time.Duration(missing) * readPrice
 	}
 	next.own = time.Duration(float64(readTime(request.Work.Prompt-next.cached, s.total().Running)) * s.speed)
 	next.wait += s.wait(now, request.Work.Prompt-next.cached)
@@ -171,21 +198,15 @@
 // prompts; decoding always gets a part.
 const mostReading = 0.85
 
-// keeper returns the server that is expected to keep the most of a prompt, and
-// how much: one that this instance sent it to lately, or the one that rendezvous
-// hashing gives its last shared part.
-func (p *Placer) keeper(now time.Time, request Request) (best *server, kept int64) {
-	parts := request.Work.Parts
-	if len(parts) < 2 {
+// home returns the server that should read the shared parts of a prompt that no
+// server is known to keep, and their size: the one that rendezvous hashing gives
+// the last of them.
+func (p *Placer) home(now time.Time, request Request, kept int64) (*server, int64) {
+	shared := sharedTokens(request.Work.Parts)
+	if kept >= shared {
 		return nil, 0
 	}
-	best, kept = p.longest(now, request)
-	if shared := sharedTokens(parts); kept < shared {
-		if home := p.affine(now, request); home != nil {
-			return home, shared
-		}
-	}
-	return best, kept
+	return p.affine(now, request), shared
 }
 
 // longest returns the server that this instance has sent the most of a prompt
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -333,3 +333,54 @@
 		assert.Equal(t, wait > 300*time.Millisecond, crowd > 3, "crowd of %d: %s", crowd, wait)
 	}
 }
+
+// TestOnlyKnownReadingsCountAsKept replays the first requests about a subject:
+// nobody has read its shared parts, so the prediction holds the whole prompt,
+// and the server that hashing gives the subject reads it.
+func TestOnlyKnownReadingsCountAsKept(t *testing.T) {
+	p := newPlacer(6)
+	request := draft(start, 31)
+	home := p.affine(start, request).Name
+	first := p.Place(start, request)
+	assert.Equal(t, first.Cached, int64(0))
+	assert.Equal(t, first.Server.Name, home)
+	p.Began(start, request.ID)
+	p.Done(start, request.ID, Answered)
+	second := p.Place(start, draft(start, 31))
+	assert.Assert(t, second.Cached > 0)
+	assert.Assert(t, second.Wait < first.Wait/2, "%v and %v", second.Wait, first.Wait)
+}
+
+// TestQuietServerTakesWhatNoOtherCan lets the quiet server, with more running than
+// it takes of new short answers, be the best or the last one that is left.
+func TestQuietServerTakesWhatNoOtherCan(t *testing.T) {
+	cases := []struct {
+		name    string
+		started bool
+		others  Load
+		alone   bool
+		quiet   bool
+	}{
+		{"new, with others", false, Load{Running: 60}, false, false},
+		{"new, alone", false, Load{}, true, true},
+		{"resumed, with busier others", true, Load{Running: 60, Prefill: 100_000}, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPlacer(4)
+			request := question(start, 400)
+			request.Started = c.started
+			quiet := p.quiet(start, request.Service)
+			for name, s := range p.servers {
+				s.others = c.others
+				if c.alone && name != quiet.Name {
+					request.Tried = append(request.Tried, name)
+				}
+			}
+			quiet.others = Load{Running: quietRunning + 5}
+			decision := p.Place(start, request)
+			assert.Assert(t, decision.Server != nil, "%s", decision.Refused)
+			assert.Equal(t, decision.Server.Name == quiet.Name, c.quiet)
+		})
+	}
+}
