placer: other regions are considered earlier

Cause: on the grown installations the regions' peaks follow each other, and a region at its peak kept requests until half of the objective was lost, while engines elsewhere idled: by then every engine reads without a pause, and answers miss the pause that is allowed between two events.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -206,7 +206,7 @@
 const (
 	// stayShare is the part of the time to the objective that a local wait may
 	// take before other regions are considered.
-	stayShare = 0.5
+	stayShare = 0.3
 	// leaveMargin is what another region must gain over this one.
 	leaveMargin = 100 * time.Millisecond
 	// urgentPatience and otherPatience are the part of the time to the objective
