soak: the real programs under random faults from outside

Entry and control instances run as processes on loopback addresses of their own; callers, operators and backend servers run in the test. Faults come from signals (kill, pause, terminate, reload, all control instances at once), from disks (emptied, a torn record) and from proxies before callers and servers (delay, reset, one way, silent); servers leave, crash and come again, and changes and evacuations come in series. Checked from what callers and servers see: runs at most once, refusals that are true, whole answers of the right request, keys, changes in force and never lost, leaving and closed failure domains, planned work that cuts nothing, no process that ends by itself, recovery in 15 s. Not covered: links between control instances, clocks, full or slow disks.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,12 @@
-# make demo runs the main job on loopback; make test runs the tests.
+# make demo runs the main job on loopback; make test runs the tests; make soak
+# SEEDS=1-50 runs the programs under random faults.
 
 GO ?= go
 LINT = $(GO) tool -modfile=tools/go.mod golangci-lint
 
-.PHONY: build demo test measure lint format check
+.PHONY: build demo test soak measure lint format check
+
+SEEDS ?= 1-50
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -14,6 +17,9 @@
 test:
 	$(GO) test -race ./...
 
+soak:
+	$(GO) test ./platform/soak -count 1 -timeout 30m -parallel 4 -soak.seeds $(SEEDS)
+
 measure:
 	$(GO) test -run '^$$' -bench . -benchtime 1x ./...
 
