follower, placer: neighbours are told what has changed every 50 ms

Cause: with 24 instances in a region, each decided on loads that were 100 to 400 ms old, and sent prompts to the same server at the same time; first events came at two to four times the prediction. Change: a beacon to neighbours every 50 ms, with the loads that have changed since all was told; everything every 100 ms in small fleets and every 200 ms in large ones, as before. A beacon is encoded once for all that get it. A property test found a fault on the way: a load that went back to what was told last was no longer told as a change.

--- a/internal/beaconer/beaconer.go
+++ b/internal/beaconer/beaconer.go
@@ -41,6 +41,9 @@
 	Spent map[string]float64 `cbor:"x,omitempty"`
 	// Levels is what it believes to be left of them.
 	Levels map[string]float64 `cbor:"e,omitempty"`
+	// Changes means that the beacon holds only the Loads that have changed since
+	// the sender last told all, and nothing of quotas.
+	Changes bool `cbor:"h,omitempty"`
 	// Loads is the work that it has at each backend server of its region.
 	Loads map[string]placer.Load `cbor:"l,omitempty"`
 	// Readings are the prompts that were lately placed where they were not kept.
@@ -101,14 +104,20 @@
 	return &Port{conn: conn, last: map[string]stamp{}}, nil
 }
 
-// Send sends one beacon. It may be lost on the way.
-func (p *Port) Send(to netip.AddrPort, beacon Beacon) error {
+// Send sends one beacon to some addresses. It may be lost on the way; the error
+// is the first of those that are known here.
+func (p *Port) Send(beacon Beacon, to ...netip.AddrPort) error {
 	data, err := cbor.Marshal(beacon)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	_, err = p.conn.WriteToUDPAddrPort(data, to)
-	return trace.Wrap(err)
+	var first error
+	for _, address := range to {
+		if _, err := p.conn.WriteToUDPAddrPort(data, address); err != nil && first == nil {
+			first = trace.Wrap(err, "to %s", address)
+		}
+	}
+	return first
 }
 
 // Run hands every new beacon to a function until the context ends.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -72,30 +72,6 @@
 	Servers int
 }
 
-// Load is the work that one instance has at a server.
-type Load struct {
-	Running int32 `cbor:"r"`
-	// Prefill is what is still to be read, in tokens.
-	Prefill int64 `cbor:"p"`
-	// Memory is what running requests hold, in tokens.
-	Memory int64 `cbor:"m"`
-	// Pace is the tokens a second that were sent to be read lately.
-	Pace int64 `cbor:"c,omitempty"`
-}
-
-func (l *Load) add(other Load) {
-	l.Running += other.Running
-	l.Prefill += other.Prefill
-	l.Memory += other.Memory
-	l.Pace += other.Pace
-}
-
-func (l *Load) subtract(other Load) {
-	l.Running -= other.Running
-	l.Prefill -= other.Prefill
-	l.Memory -= other.Memory
-}
-
 // Placer decides for one entry instance. It is not safe for concurrent use.
 type Placer struct {
 	// Self, Region and FailureDomain name this instance and where it is.
@@ -124,27 +100,14 @@
 	began   bool
 }
 
-// peer is another instance of this region, or a failure domain as a whole.
-type peer struct {
-	heard time.Time
-	loads map[string]Load
-	// near instances are of this failure domain.
-	near bool
-}
-
 // remote is what is known of a service in another region.
 type remote struct {
 	Summary
 	heard time.Time
 }
 
-// Times of what other instances tell.
-const (
-	// peerFreshness is how long the loads of another instance count.
-	peerFreshness = 2 * time.Second
-	// remoteFreshness is how long a region's summary counts.
-	remoteFreshness = 3 * time.Second
-)
+// remoteFreshness is how long a region's summary counts.
+const remoteFreshness = 3 * time.Second
 
 // Place decides on a request. A placement at a server must be ended by Done.
 func (p *Placer) Place(now time.Time, request Request) Decision {
@@ -251,6 +214,7 @@
 	load := Load{Running: 1, Prefill: unread, Memory: request.Work.memory()}
 	s.pace.add(now, float64(unread))
 	s.own.add(load)
+	s.changed = true
 	s.sent = now
 	p.noteReading(now, s, request.Work.Parts)
 	s.cache.touch(request.Work.Parts, s.room)
@@ -271,6 +235,7 @@
 	r.began = true
 	if s, known := p.servers[r.server]; known {
 		s.own.Prefill -= r.load.Prefill
+		s.changed = true
 		s.noteSpeed(now.Sub(r.started), r.wait)
 	}
 	r.load.Prefill = 0
@@ -305,60 +270,6 @@
 		return
 	}
 	s.own.subtract(r.load)
+	s.changed = true
 	s.note(now, outcome, p.mayEject(now, s))
 }
-
-// Loads returns what this instance has at each server.
-func (p *Placer) Loads() map[string]Load {
-	loads := map[string]Load{}
-	for name, s := range p.servers {
-		if s.own.Running > 0 {
-			load := s.own
-			load.Pace = int64(s.pace.rate(s.seen))
-			loads[name] = load
-		}
-	}
-	return loads
-}
-
-// NearLoads returns what all instances of this failure domain have at each
-// server, as far as they were heard lately.
-func (p *Placer) NearLoads(now time.Time) map[string]Load {
-	loads := p.Loads()
-	for _, other := range p.peers {
-		if !other.near || now.Sub(other.heard) > peerFreshness {
-			continue
-		}
-		for name, load := range other.loads {
-			sum := loads[name]
-			sum.add(load)
-			loads[name] = sum
-		}
-	}
-	return loads
-}
-
-// HearLoads takes in what another instance of this region has at each server, or
-// all of another failure domain. Near tells that it is one of this domain.
-func (p *Placer) HearLoads(now time.Time, name string, near bool, loads map[string]Load) {
-	if p.peers == nil {
-		p.peers = map[string]peer{}
-	}
-	p.peers[name] = peer{heard: now, loads: loads, near: near}
-	for other, known := range p.peers {
-		if now.Sub(known.heard) > peerFreshness {
-			delete(p.peers, other)
-		}
-	}
-	p.sumOthers()
-}
-
-// sumOthers adds up what the other instances have at each server.
-func (p *Placer) sumOthers() {
-	for name, s := range p.servers {
-		s.others = Load{}
-		for _, other := range p.peers {
-			s.others.add(other.loads[name])
-		}
-	}
-}
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -21,6 +21,8 @@
 	coldUntil time.Time
 	own       Load
 	others    Load
+	// changed means that own has changed since others were told of everything.
+	changed bool
 	// sent is when this instance last sent it a request, and seen when it was
 	// last considered.
 	sent time.Time
