launcher: ports are drained when a process stops

Entry and control instances now drain their ports, and an entry instance waits until connections that were open when it was told to stop have been unused for a second, within its limit.

--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -85,8 +85,7 @@
 		defer cancel()
 		klog.InfoS("stopping")
 		c.HandOver(ctx)
-		for _, server := range []*http.Server{operators, directory} {
-			_ = server.Shutdown(ctx) // what is still open is cut at the limit
-		}
+		operators.close(ctx)
+		directory.close(ctx)
 	})
 }
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -32,6 +32,9 @@
 	// stopReserve is kept for closing connections before the limit.
 	stopReserve = 500 * time.Millisecond
 	stopPoll    = 50 * time.Millisecond
+	// stopQuiet is for how long callers have left their open connections unused
+	// before these are closed.
+	stopQuiet = time.Second
 )
 
 // EntryDialect is what an entry instance speaks to the outside.
@@ -48,7 +51,7 @@
 	settings  loader.Entry
 	follower  *follower.Follower
 	forwarder *forwarder.Forwarder
-	callers   *http.Server
+	callers   *port
 }
 
 // RunEntry serves an entry instance until a signal has stopped it. Path is the
@@ -102,11 +105,11 @@
 	if deadline, bounded := ctx.Deadline(); bounded {
 		e.forwarder.StopAt(deadline)
 	}
-	for ctx.Err() == nil && (e.forwarder.Active() > 0 || time.Since(began) < stopLinger) {
+	for ctx.Err() == nil && (e.forwarder.Active() > 0 || time.Since(began) < stopLinger || !e.callers.connections.Quiet(time.Now(), began, stopQuiet)) {
 		pause(ctx, stopPoll)
 	}
 	klog.InfoS("stopped", "active", e.forwarder.Active(), "took", time.Since(began))
 	last, cancelLast := context.WithTimeout(context.Background(), stopReserve/2)
 	defer cancelLast()
-	_ = e.callers.Shutdown(last) // what is still open is cut at the limit
+	e.callers.close(last)
 }
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -55,8 +54,8 @@
 	}
 }
 
-func listen(name string, address netip.AddrPort) (net.Listener, error) {
-	listener, err := net.Listen("tcp4", address.String())
+func listen(name string, address netip.AddrPort) (*conductor.Listener, error) {
+	listener, err := conductor.Listen(address.String())
 	return listener, trace.Wrap(err, name)
 }
 
@@ -65,7 +64,7 @@
 	err error
 }
 
-func (p *ports) open(name string, address netip.AddrPort) net.Listener {
+func (p *ports) open(name string, address netip.AddrPort) *conductor.Listener {
 	if p.err != nil {
 		return nil
 	}
@@ -75,13 +74,26 @@
 }
 
 // serve adds an HTTP server on an address.
-func (p *ports) serve(actors *conductor.Actors, name string, address netip.AddrPort, handler http.Handler) *http.Server {
-	listener := p.open(name, address)
-	server := newServer(handler)
+func (p *ports) serve(actors *conductor.Actors, name string, address netip.AddrPort, handler http.Handler) *port {
+	opened := &port{Server: newServer(handler), listener: p.open(name, address)}
+	opened.ConnState = opened.connections.Track
 	if p.err == nil {
-		actors.Serve(name, server, listener)
+		actors.Serve(name, opened.Server, opened.listener)
 	}
-	return server
+	return opened
+}
+
+// port is an HTTP server with its listener and its open connections.
+type port struct {
+	*http.Server
+	listener    *conductor.Listener
+	connections conductor.Connections
+}
+
+// close ends a port in order: who has connected is served.
+func (p *port) close(ctx context.Context) {
+	p.listener.Drain(ctx)
+	_ = p.Shutdown(ctx) // what is still open is cut at the limit
 }
 
 // reloader reads the settings again on SIGHUP and when the file has changed.
