placer: neighbours share which servers they have set aside

Cause: of 11 servers that fail half of their requests, each of 24 instances had to see three failures in a row before it set one aside, and again each time it tried. Ruled out: a lower bound for all (a service whose answers are failures by nature, one in seven, would lose its servers). Change: loads tell which servers an instance has set aside; two neighbours' word is enough, one makes a single failure enough. Other failure domains do not count, and never more than half of a service's servers.

--- a/internal/experimenter/policy.go
+++ b/internal/experimenter/policy.go
@@ -16,7 +16,7 @@
 	Place(now time.Time, request placer.Request) placer.Decision
 	Began(now time.Time, id uint64)
 	Done(now time.Time, id uint64, outcome placer.Outcome)
-	Loads() map[string]placer.Load
+	Loads(now time.Time) map[string]placer.Load
 	NearLoads(now time.Time) map[string]placer.Load
 	HearLoads(now time.Time, name string, near bool, loads map[string]placer.Load)
 	Readings(now time.Time, within time.Duration, domain bool) []placer.Reading
@@ -111,9 +111,9 @@
 	b.own[name] = load
 }
 
-func (b *baseline) Loads() map[string]placer.Load { return cloneLoads(b.own) }
+func (b *baseline) Loads(time.Time) map[string]placer.Load { return cloneLoads(b.own) }
 
-func (b *baseline) NearLoads(time.Time) map[string]placer.Load { return b.Loads() }
+func (b *baseline) NearLoads(now time.Time) map[string]placer.Load { return b.Loads(now) }
 
 func (b *baseline) HearLoads(_ time.Time, name string, _ bool, loads map[string]placer.Load) {
 	b.others[name] = loads
--- a/internal/experimenter/world.go
+++ b/internal/experimenter/world.go
@@ -282,7 +282,7 @@
 
 // tellRegion sends loads to the other gates of the region.
 func (w *world) tellRegion(g *gate, sequence int, crowd, speaks bool) {
-	loads, readings := g.policy.Loads(), g.policy.Readings(w.now, 2*beaconInterval, false)
+	loads, readings := g.policy.Loads(w.now), g.policy.Readings(w.now, 2*beaconInterval, false)
 	var all map[string]placer.Load
 	var allReadings []placer.Reading
 	if crowd && speaks && sequence%speechEvery == 0 {
--- a/internal/follower/beacons.go
+++ b/internal/follower/beacons.go
@@ -117,10 +117,10 @@
 	near := bare
 	near.Readings = f.placer.Readings(now, readingRepeats*beaconInterval, false)
 	if everything {
-		near.Spent, near.Levels, near.Loads = f.quotas.Spent(), f.quotas.Levels(), f.placer.Loads()
+		near.Spent, near.Levels, near.Loads = f.quotas.Spent(), f.quotas.Levels(), f.placer.Loads(now)
 		return near
 	}
-	near.Changes, near.Loads = true, f.placer.Changes()
+	near.Changes, near.Loads = true, f.placer.Changes(now)
 	return near
 }
 
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -72,7 +72,6 @@
 			continue
 		}
 		count++
-		s.seen = now
 		next := p.consider(now, s, request, around)
 		if s == around.quiet && !request.Started && s.keepsQuiet(request.Work, request.Work.Prompt-next.cached) {
 			reserve = next // taken if there is no other
--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -11,6 +11,8 @@
 	Memory int64 `cbor:"m"`
 	// Pace is the tokens a second that were sent to be read lately.
 	Pace int64 `cbor:"c,omitempty"`
+	// Ejected is how many instances have set the server aside for its failures.
+	Ejected int32 `cbor:"e,omitempty"`
 }
 
 func (l *Load) add(other Load) {
@@ -18,6 +20,7 @@
 	l.Prefill += other.Prefill
 	l.Memory += other.Memory
 	l.Pace += other.Pace
+	l.Ejected += other.Ejected
 }
 
 func (l *Load) subtract(other Load) {
@@ -25,6 +28,7 @@
 	l.Prefill -= other.Prefill
 	l.Memory -= other.Memory
 	l.Pace -= other.Pace
+	l.Ejected -= other.Ejected
 }
 
 // peer is another instance of this region, or a failure domain as a whole.
@@ -35,22 +39,32 @@
 	near bool
 }
 
+// load is what another instance has at a server. What other failure domains set
+// aside may well be reached from here.
+func (o peer) load(server string) Load {
+	load := o.loads[server]
+	if !o.near {
+		load.Ejected = 0
+	}
+	return load
+}
+
 // peerFreshness is how long the loads of another instance count.
 const peerFreshness = 2 * time.Second
 
 // Loads returns what this instance has at each server.
-func (p *Placer) Loads() map[string]Load {
+func (p *Placer) Loads(now time.Time) map[string]Load {
 	for _, s := range p.servers {
 		s.changed = false
 	}
-	return p.ownLoads()
+	return p.ownLoads(now)
 }
 
-func (p *Placer) ownLoads() map[string]Load {
+func (p *Placer) ownLoads(now time.Time) map[string]Load {
 	loads := map[string]Load{}
 	for name, s := range p.servers {
-		if s.own.Running > 0 {
-			loads[name] = s.load()
+		if load := s.load(now); load.Running > 0 || load.Ejected > 0 {
+			loads[name] = load
 		}
 	}
 	return loads
@@ -58,27 +72,30 @@
 
 // Changes returns what this instance has at the servers where that has changed
 // since Loads was last called.
-func (p *Placer) Changes() map[string]Load {
+func (p *Placer) Changes(now time.Time) map[string]Load {
 	changes := map[string]Load{}
 	for name, s := range p.servers {
 		if s.changed {
-			changes[name] = s.load()
+			changes[name] = s.load(now)
 		}
 	}
 	return changes
 }
 
 // load is the own work at a server with the rate at which it comes.
-func (s *server) load() Load {
+func (s *server) load(now time.Time) Load {
 	load := s.own
-	load.Pace = int64(s.pace.rate(s.seen))
+	load.Pace = int64(s.pace.rate(now))
+	if now.Before(s.ejectedUntil) {
+		load.Ejected = 1
+	}
 	return load
 }
 
 // NearLoads returns what all instances of this failure domain have at each
 // server, as far as they were heard lately.
 func (p *Placer) NearLoads(now time.Time) map[string]Load {
-	loads := p.ownLoads()
+	loads := p.ownLoads(now)
 	for _, other := range p.peers {
 		if !other.near || now.Sub(other.heard) > peerFreshness {
 			continue
@@ -103,7 +120,7 @@
 	}
 	p.peers[name] = peer{heard: now, loads: loads, near: near}
 	p.forgetPeers(now)
-	p.sumOthers()
+	p.sumOthers(now)
 }
 
 // HearChanges takes in what has changed of the loads of an instance of this
@@ -117,10 +134,10 @@
 	p.peers[name] = known
 	for server, load := range changes {
 		if s, exists := p.servers[server]; exists {
-			s.others.subtract(known.loads[server])
-			s.others.add(load)
+			s.others.subtract(known.load(server))
+			known.loads[server] = load
+			s.others.add(known.load(server))
 		}
-		known.loads[server] = load
 	}
 }
 
@@ -134,11 +151,12 @@
 }
 
 // sumOthers adds up what the other instances have at each server.
-func (p *Placer) sumOthers() {
+func (p *Placer) sumOthers(now time.Time) {
 	for name, s := range p.servers {
 		s.others = Load{}
 		for _, other := range p.peers {
-			s.others.add(other.loads[name])
+			s.others.add(other.load(name))
 		}
 	}
+	p.shun(now)
 }
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -23,10 +23,8 @@
 	others    Load
 	// changed means that own has changed since others were told of everything.
 	changed bool
-	// sent is when this instance last sent it a request, and seen when it was
-	// last considered.
+	// sent is when this instance last sent it a request.
 	sent time.Time
-	seen time.Time
 	// pace is the rate at which this instance sends it prompts to read.
 	pace meter
 	// speed is the observed time to a first event over the predicted one.
@@ -40,6 +38,8 @@
 	failures     int
 	failed       float64
 	ejectedUntil time.Time
+	// shunned means that several neighbours have set it aside.
+	shunned bool
 }
 
 // What an engine is assumed to do in a given time until it has been seen at
@@ -82,6 +82,9 @@
 	failureWeight = 0.15
 	// ejectShare of failures sets a server aside although some answers come.
 	ejectShare = 0.3
+	// shunVotes is how many neighbours must have set a server aside for an instance
+	// that has not seen it fail itself.
+	shunVotes = 2
 	// mostEjected is the part of a service's servers that may be set aside.
 	mostEjected = 0.5
 	// speedWeight is the weight of one observation of a server's speed.
@@ -160,12 +163,35 @@
 	s.failures++
 	s.failed += failureWeight * (1 - s.failed)
 	often := s.failed > ejectShare && s.failures > 0
-	if (s.failures < ejectAfter && !often && outcome != Unreached) || !mayEject {
+	confirmed := s.others.Ejected > 0
+	if (s.failures < ejectAfter && !often && !confirmed && outcome != Unreached) || !mayEject {
 		return
 	}
 	doublings := min(max(s.failures-ejectAfter, 0), 3)
 	s.ejectedUntil = now.Add(min(ejectTime<<doublings, longestEject))
 	s.failed /= 2
+	s.changed = true
+}
+
+// shun sets the servers aside that several neighbours have set aside, if others
+// can take their work.
+func (p *Placer) shun(now time.Time) {
+	ready, out := map[string]int{}, map[string]int{}
+	for _, s := range p.servers {
+		s.shunned = s.others.Ejected >= shunVotes
+		if s.State != registrar.StateReady || s.Silent {
+			continue
+		}
+		ready[s.Service]++
+		if s.out(now) {
+			out[s.Service]++
+		}
+	}
+	for _, s := range p.servers {
+		if float64(out[s.Service]) > mostEjected*float64(ready[s.Service]) {
+			s.shunned = false
+		}
+	}
 }
 
 // Learn replaces what is known of the servers of this region.
@@ -186,7 +212,7 @@
 			s.State = registrar.StateGone
 		}
 	}
-	p.sumOthers()
+	p.sumOthers(now)
 }
 
 func (p *Placer) learn(now time.Time, view *definer.View, said registrar.Server) {
@@ -235,7 +261,12 @@
 
 // usable reports whether a server may get work now.
 func (p *Placer) usable(now time.Time, s *server) bool {
-	return s.State == registrar.StateReady && !s.Silent && !p.closed[s.FailureDomain] && !now.Before(s.ejectedUntil)
+	return s.State == registrar.StateReady && !s.Silent && !p.closed[s.FailureDomain] && !s.out(now)
+}
+
+// out reports whether a server is set aside for its failures.
+func (s *server) out(now time.Time) bool {
+	return s.shunned || now.Before(s.ejectedUntil)
 }
 
 // Conditions tells of every server of this region whether it gets work, and why
@@ -250,7 +281,7 @@
 			conditions[name] = "silent"
 		case p.closed[s.FailureDomain]:
 			conditions[name] = "closed"
-		case now.Before(s.ejectedUntil):
+		case s.out(now):
 			conditions[name] = "ejected"
 		case s.cold(now):
 			conditions[name] = "cold"
@@ -268,7 +299,7 @@
 			continue
 		}
 		all++
-		if s != failing && now.Before(s.ejectedUntil) {
+		if s != failing && s.out(now) {
 			out++
 		}
 	}
