placer: servers that fail for long are tried less and less, by the measure of their service

Change: the time doubles with each ejection within 10 s; a share of failures counts against that of the service's other servers, averaged over more requests; so does the length of a row of failures.

--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -7,6 +7,7 @@
 	"context"
 	"flag"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,7 +85,13 @@
 	if err == nil {
 		return ""
 	}
-	return trace.UserMessage(err)
+	var parts []string
+	for line := range strings.Lines(trace.UserMessage(err)) {
+		if line = strings.TrimSpace(line); line != "" {
+			parts = append(parts, line)
+		}
+	}
+	return strings.Join(parts, ": ")
 }
 
 // Kind bounds the lines of one kind. The zero value is ready to use.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -271,5 +271,5 @@
 	}
 	s.own.subtract(r.load)
 	s.changed = true
-	s.note(now, outcome, p.mayEject(now, s))
+	s.note(now, outcome, p.mayEject(now, s), p.usualFailures(s))
 }
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,9 +35,10 @@
 	room int64
 
 	// failures in a row, the share of failures lately, and until when the
-	// server is set aside for them.
+	// server is set aside for them, for how many times lately.
 	failures     int
 	failed       float64
+	ejections    int
 	ejectedUntil time.Time
 	// shunned means that several neighbours have set it aside.
 	shunned bool
@@ -79,9 +81,20 @@
 	ejectAfter    = 3
 	ejectTime     = time.Second
 	longestEject  = 8 * time.Second
-	failureWeight = 0.15
-	// ejectShare of failures sets a server aside although some answers come.
-	ejectShare = 0.3
+	mostDoublings = 3
+	failureWeight = 0.07
+	// ejectShare of failures sets a server aside although some answers come, if
+	// that is far more than others of its service have.
+	ejectShare  = 0.3
+	ejectFactor = 2
+	ejectMargin = 0.1
+	// rowChance is how likely a row of failures may be at a server like all others,
+	// and mostUsual bounds the share of failures that is taken as usual.
+	rowChance = 0.001
+	mostUsual = 0.9
+	// ejectMemory is after how long without an ejection the next one is short
+	// again.
+	ejectMemory = 10 * time.Second
 	// shunVotes is how many neighbours must have set a server aside for an instance
 	// that has not seen it fail itself.
 	shunVotes = 2
@@ -150,8 +163,8 @@
 }
 
 // note records how a request ended, and sets a failing server aside if others
-// can take its work.
-func (s *server) note(now time.Time, outcome Outcome, mayEject bool) {
+// can take its work. Usual is the share of failures of those others.
+func (s *server) note(now time.Time, outcome Outcome, mayEject bool, usual float64) {
 	switch outcome {
 	case Dropped, Declined:
 		return
@@ -162,17 +175,29 @@
 	}
 	s.failures++
 	s.failed += failureWeight * (1 - s.failed)
-	often := s.failed > ejectShare && s.failures > 0
+	often := s.failed > max(ejectShare, ejectFactor*usual+ejectMargin)
 	confirmed := s.others.Ejected > 0
-	if (s.failures < ejectAfter && !often && !confirmed && outcome != Unreached) || !mayEject {
+	if (s.failures < tellingRow(usual) && !often && !confirmed && outcome != Unreached) || !mayEject {
 		return
 	}
-	doublings := min(max(s.failures-ejectAfter, 0), 3)
-	s.ejectedUntil = now.Add(min(ejectTime<<doublings, longestEject))
+	if now.Sub(s.ejectedUntil) > ejectMemory {
+		s.ejections = 0
+	}
+	s.ejectedUntil = now.Add(min(ejectTime<<min(s.ejections, mostDoublings), longestEject))
+	s.ejections++
 	s.failed /= 2
 	s.changed = true
 }
 
+// tellingRow is how many failures in a row say that a server is worse than others
+// of which a share fails as well.
+func tellingRow(usual float64) int {
+	if usual <= 0 {
+		return ejectAfter
+	}
+	return max(ejectAfter, int(math.Ceil(math.Log(rowChance)/math.Log(min(usual, mostUsual)))))
+}
+
 // shun sets the servers aside that several neighbours have set aside, if others
 // can take their work.
 func (p *Placer) shun(now time.Time) {
@@ -292,6 +317,18 @@
 	return conditions
 }
 
+// usualFailures is the mean share of failures of the other servers of a service.
+func (p *Placer) usualFailures(of *server) float64 {
+	sum, count := 0.0, 0
+	for _, s := range p.servers {
+		if s != of && s.Service == of.Service {
+			sum += s.failed
+			count++
+		}
+	}
+	return sum / float64(max(count, 1))
+}
+
 func (p *Placer) mayEject(now time.Time, failing *server) bool {
 	all, out := 0, 1
 	for _, s := range p.servers {
