forwarder: a region that has no room costs no retry

Change: an instance that refuses a relayed request says to how many servers it was offered; only what was offered is a repeat.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -80,6 +80,7 @@
 		return f.relay(ctx, out, decision.Region)
 	}
 	trail.server = decision.Server.Name
+	out.offered = true
 	return f.send(ctx, out, id, decision)
 }
 
@@ -101,6 +102,9 @@
 	if try >= mostTries || out.ran >= max(call.Route.Attempts, 1) {
 		return false
 	}
+	if !out.offered {
+		return true // other regions had no room for it
+	}
 	if !f.retries.spend(time.Now(), call.Service.Name, f.fleet.Instances()) {
 		f.counters.Count("retries-without-budget")
 		return false
--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -30,8 +30,10 @@
 	lastEvent string
 	// kept is a failure of a server that is passed on if no attempt succeeds.
 	kept *kept
-	// ran is how many servers may have run the request.
-	ran int
+	// ran is how many servers may have run the request, and offered whether any
+	// server has been offered it: only then another offer is a repeat.
+	ran     int
+	offered bool
 }
 
 // kept is a whole answer.
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -21,8 +21,10 @@
 	headerRelay = "Boragehead-Relay"
 	// headerOutcome marks a refusal of the instance itself.
 	headerOutcome = "Boragehead-Outcome"
-	// headerRan says on how many servers the request may have run there.
-	headerRan = "Boragehead-Ran"
+	// headerRan says on how many servers the request may have run there, and
+	// headerOffered how many were offered it.
+	headerRan     = "Boragehead-Ran"
+	headerOffered = "Boragehead-Offered"
 
 	outcomeNotRun  = "not-run"
 	outcomeUnknown = "unknown"
@@ -80,6 +82,7 @@
 		if !connected.Load() {
 			return declined, 0
 		}
+		out.offered = true
 		return lost, left
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -89,12 +92,15 @@
 	response.Header.Del(headerRan)
 	switch response.Header.Get(headerOutcome) {
 	case outcomeNotRun:
+		out.offered = out.offered || response.Header.Get(headerOffered) != "0"
 		call.trail.note = "refused there: " + response.Status
 		return declined, 0
 	case outcomeUnknown:
+		out.offered = true
 		call.trail.note = "failed there: " + response.Status
 		return lost, left
 	}
+	out.offered = true
 	result, _ = f.judge(out, response)
 	return result, left
 }
@@ -138,6 +144,7 @@
 			outcome = outcomeUnknown
 		}
 		w.Header().Set(headerRan, strconv.Itoa(refusal.Servers))
+		w.Header().Set(headerOffered, strconv.Itoa(call.trail.attempts))
 		w.Header().Set(headerOutcome, outcome)
 		w.WriteHeader(refusal.Status)
 	}
