--- a/internal/experimenter/caller.go
+++ b/internal/experimenter/caller.go
@@ -10,15 +10,18 @@
 // attempt is one try of a caller: from its arrival at a gate to its end.
 type attempt struct {
 	*call
-	began    time.Time
-	gate     *gate
-	tried    []string
-	regions  []string
-	sends    int
-	ended    bool
-	placed   uint64
-	engine   *engine
-	server   *gate // the gate that sent it to an engine
+	began   time.Time
+	gate    *gate
+	tried   []string
+	regions []string
+	sends   int
+	ended   bool
+	// id is that of the try, and placed that of its last placement.
+	id     uint64
+	placed uint64
+	engine *engine
+	// server is the gate that sent it to an engine.
+	server   *gate
 	relayed  bool
 	deadline time.Time
 }
@@ -61,42 +64,41 @@
 	at := &attempt{call: c, gate: r.gates[w.random.IntN(len(r.gates))], deadline: c.deadline}
 	c.tries++
 	w.number++
-	id := w.number
-	w.running[id] = at
-	finish := func() { delete(w.running, id) }
-	w.after(c.deadline.Sub(w.now), func() { w.giveUp(at, finish) })
+	at.id = w.number
+	w.running[at.id] = at
+	w.after(c.deadline.Sub(w.now), func() { w.giveUp(at) })
 	w.after(w.pattern.Network.Caller, func() {
 		at.began = w.now
-		w.serve(at, at.gate, finish)
+		w.serve(at, at.gate)
 	})
 }
 
 // giveUp ends a try at its deadline.
-func (w *world) giveUp(at *attempt, finish func()) {
+func (w *world) giveUp(at *attempt) {
 	if at.ended {
 		return
 	}
 	if at.engine != nil && at.engine.Cancel(at.placed) {
 		at.server.policy.Done(w.now, at.placed, placer.Dropped)
 	}
-	w.end(at, outcomeFailed, finish)
+	w.end(at, outcomeFailed)
 }
 
-func (w *world) end(at *attempt, result outcome, finish func()) {
+func (w *world) end(at *attempt, result outcome) {
 	if at.ended {
 		return
 	}
 	at.ended = true
-	finish()
+	delete(w.running, at.id)
 	at.outcome = result
-	w.tally.note(at.call, w.now)
+	w.tally.note(at.call)
 }
 
 // mostSends bounds the places that one try is offered to.
 const mostSends = 4
 
 // serve places a try and sends it on.
-func (w *world) serve(at *attempt, g *gate, finish func()) {
+func (w *world) serve(at *attempt, g *gate) {
 	if at.ended {
 		return
 	}
@@ -109,21 +111,21 @@
 		at.relayed = false
 		w.after(w.pattern.Network.Region, func() {
 			at.regions = append(at.regions, g.region.Name)
-			w.serve(at, at.gate, finish)
+			w.serve(at, at.gate)
 		})
 	case decision.Refused != "" || at.sends > mostSends:
 		if decision.Refused == "" {
 			g.policy.Done(w.now, id, placer.Dropped)
 		}
-		w.refuse(at, decision.RetryAfter, finish)
+		w.refuse(at, decision.RetryAfter)
 	case decision.Region != "":
 		at.relayed = true
 		away := w.regionNamed(decision.Region)
 		w.after(w.pattern.Network.Region, func() {
-			w.serve(at, away.gates[w.random.IntN(len(away.gates))], finish)
+			w.serve(at, away.gates[w.random.IntN(len(away.gates))])
 		})
 	default:
-		w.send(at, g, id, decision, finish)
+		w.send(at, g, id, decision)
 	}
 }
 
@@ -149,30 +151,26 @@
 }
 
 // refuse tells a caller to come back.
-func (w *world) refuse(at *attempt, retryAfter time.Duration, finish func()) {
+func (w *world) refuse(at *attempt, retryAfter time.Duration) {
 	w.after(w.pattern.Network.Caller, func() {
 		if at.ended {
 			return
 		}
 		left := at.call.deadline.Sub(w.now)
 		if at.tries > at.kindOf.Retries || retryAfter > left/3 {
-			w.end(at, outcomeRefused, finish)
+			w.end(at, outcomeRefused)
 			return
 		}
-		at.ended = true
-		finish()
-		w.number++
-		id := w.number
-		w.running[id] = at // the caller is still there
+		at.ended = true // the caller is still there
 		w.after(retryAfter, func() {
-			delete(w.running, id)
+			delete(w.running, at.id)
 			w.try(at.call)
 		})
 	})
 }
 
 // send offers a try to an engine.
-func (w *world) send(at *attempt, g *gate, id uint64, decision placer.Decision, finish func()) {
+func (w *world) send(at *attempt, g *gate, id uint64, decision placer.Decision) {
 	e := w.engines[decision.Server.Name]
 	at.tried = append(at.tried, decision.Server.Name)
 	way := w.pattern.Network.Near
@@ -195,12 +193,12 @@
 			}
 			w.after(way, func() {
 				g.policy.Done(w.now, id, outcome)
-				w.serve(at, g, finish)
+				w.serve(at, g)
 			})
 			return
 		}
 		at.engine, at.server, at.placed = e, g, id
-		w.stream(at, e, id, way, finish)
+		w.stream(at, e, id, way)
 		w.wake(e)
 	})
 }
--- a/internal/experimenter/experimenter_test.go
+++ b/internal/experimenter/experimenter_test.go
@@ -71,6 +71,7 @@
 func TestSameSeedHasTheSameResult(t *testing.T) {
 	p := pattern(t, "small")
 	p.Duration = 4 * time.Second
+	p.Outages = []Outage{{Region: "north", Share: 0.5, At: time.Second, For: time.Second}}
 	together, err := Run(p, []string{PolicyPlacer, PolicyPrefix}, []uint64{1, 2}, 4)
 	assert.NilError(t, err)
 	alone, err := Run(p, []string{PolicyPlacer}, []uint64{2}, 1)
--- a/internal/experimenter/stream.go
+++ b/internal/experimenter/stream.go
@@ -1,6 +1,8 @@
 package experimenter
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/boragehead/boragehead/internal/emulator"
@@ -11,15 +13,14 @@
 type stream struct {
 	attempt *attempt
 	way     time.Duration
-	finish  func()
 	began   bool
 }
 
-func (w *world) stream(at *attempt, e *engine, id uint64, way time.Duration, finish func()) {
+func (w *world) stream(at *attempt, e *engine, id uint64, way time.Duration) {
 	if e.streams == nil {
 		e.streams = map[uint64]*stream{}
 	}
-	e.streams[id] = &stream{attempt: at, way: way, finish: finish}
+	e.streams[id] = &stream{attempt: at, way: way}
 }
 
 // wake lets an engine go on when it has something to do.
@@ -96,15 +97,16 @@
 	if c.first.Sub(c.started) <= c.kindOf.Objective && c.gap <= c.kindOf.Gap {
 		result = outcomeInTime
 	}
-	w.end(at, result, s.finish)
+	w.end(at, result)
 }
 
 // dropAll breaks off everything that an engine works on.
 func (w *world) dropAll(e *engine) {
-	for id, s := range e.streams {
+	for _, id := range slices.Sorted(maps.Keys(e.streams)) {
+		s := e.streams[id]
 		e.Cancel(id)
 		s.attempt.server.policy.Done(w.now, id, placer.Failed)
-		w.end(s.attempt, outcomeFailed, s.finish)
+		w.end(s.attempt, outcomeFailed)
 	}
 	e.streams = nil
 }
--- a/internal/experimenter/tally.go
+++ b/internal/experimenter/tally.go
@@ -158,7 +158,7 @@
 	return t
 }
 
-func (t *tally) note(c *call, _ time.Time) {
+func (t *tally) note(c *call) {
 	window := min(int(c.started.Sub(epoch)/windowTime), len(t.windows)-1)
 	for _, p := range []*part{t.all, t.kinds[c.kind], t.regions[c.region], t.windows[window]} {
 		p.note(c)
--- a/internal/forwarder/relay_test.go
+++ b/internal/forwarder/relay_test.go
@@ -36,7 +36,7 @@
 			here := newPath(t, route, respond(200, "whole"))
 			here.fleet.away, here.fleet.relay = "south", netip.MustParseAddrPort(relays.Listener.Addr().String())
 			here.front.Config.Handler = New(testDialect{}, here.fleet, measurer.New(), none)
-			status, body, err := here.ask("GET", "/a", "")
+			status, body, err := here.ask("GET", "/b", "")
 			assert.NilError(t, err)
 			assert.Equal(t, body, c.body)
 			assert.Equal(t, status, c.status)
