--- a/internal/beaconer/beaconer.go
+++ b/internal/beaconer/beaconer.go
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/placer"
 )
 
@@ -132,7 +133,7 @@
 		}
 		if err != nil {
 			// An unreachable receiver may be reported here; the port lives on.
-			pause(ctx, readPause)
+			conductor.Pause(ctx, readPause)
 			continue
 		}
 		var beacon Beacon
@@ -146,15 +147,6 @@
 // readPause keeps a port whose reads fail from spinning.
 const readPause = 10 * time.Millisecond
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // fresh reports whether a beacon is newer than all that its sender has sent.
 func (p *Port) fresh(beacon Beacon) bool {
 	p.mu.Lock()
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -107,3 +107,13 @@
 		}
 	}
 }
+
+// Pause waits for a time, or until the context ends.
+func Pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -101,12 +101,12 @@
 	klog.InfoS("stopping", "active", e.forwarder.Active())
 	e.follower.Stop()
 	e.forwarder.CloseConnections()
-	pause(ctx, stopTurnAway)
+	conductor.Pause(ctx, stopTurnAway)
 	if deadline, bounded := ctx.Deadline(); bounded {
 		e.forwarder.StopAt(deadline)
 	}
 	for ctx.Err() == nil && (e.forwarder.Active() > 0 || time.Since(began) < stopLinger || !e.callers.connections.Quiet(time.Now(), began, stopQuiet)) {
-		pause(ctx, stopPoll)
+		conductor.Pause(ctx, stopPoll)
 	}
 	klog.InfoS("stopped", "active", e.forwarder.Active(), "took", time.Since(began))
 	last, cancelLast := context.WithTimeout(context.Background(), stopReserve/2)
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -142,12 +142,3 @@
 	klog.InfoS("settings reloaded", "cause", cause)
 	r.apply(settings)
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -233,13 +233,13 @@
 // then callers use other instances.
 func (g *Gate) start(ctx context.Context, callers chan<- net.Listener) error {
 	for g.follower.View().Revision == 0 && ctx.Err() == nil {
-		pause(ctx, startPause)
+		conductor.Pause(ctx, startPause)
 	}
 	begun := time.Now()
 	for !g.supplied() && time.Since(begun) < startPatience && ctx.Err() == nil {
-		pause(ctx, startPause)
+		conductor.Pause(ctx, startPause)
 	}
-	pause(ctx, tracker.Period)
+	conductor.Pause(ctx, tracker.Period)
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -296,7 +296,7 @@
 func (g *Gate) runSweeper(ctx context.Context) error {
 	for ctx.Err() == nil {
 		g.auth.Sweep()
-		pause(ctx, sweepInterval)
+		conductor.Pause(ctx, sweepInterval)
 	}
 	return nil
 }
@@ -312,9 +312,9 @@
 	g.stopping.begin()
 	g.fleet.announce(ctx, gossiper.StateStopping)
 	g.ledger.surrender(ctx)
-	pause(ctx, cmp.Or(g.settings.StopLinger, defaultStopLinger))
+	conductor.Pause(ctx, cmp.Or(g.settings.StopLinger, defaultStopLinger))
 	for ctx.Err() == nil && !g.connections.Quiet(time.Now(), began, stopQuiet) {
-		pause(ctx, stopPoll)
+		conductor.Pause(ctx, stopPoll)
 	}
 	if listener := g.listener.Load(); listener != nil {
 		listener.Drain(ctx)
--- a/internal/runner/ledger.go
+++ b/internal/runner/ledger.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/granter"
 	"github.com/boragehead/boragehead/internal/keeper"
 	"github.com/boragehead/boragehead/internal/lender"
@@ -66,7 +67,7 @@
 			if moved || err != nil {
 				still = 0
 			}
-			pause(ctx, syncPause)
+			conductor.Pause(ctx, syncPause)
 		}
 		l.rest(ctx, changed)
 	}
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -14,6 +14,7 @@
 
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/claimer"
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/exchanger"
 	"github.com/boragehead/boragehead/internal/granter"
 	"github.com/boragehead/boragehead/internal/keeper"
@@ -161,7 +162,7 @@
 			}
 			last = err
 		}
-		pause(ctx, claimPause)
+		conductor.Pause(ctx, claimPause)
 	}
 	return claimer.Outcome{}, trace.Wrap(last)
 }
--- a/internal/runner/standin.go
+++ b/internal/runner/standin.go
@@ -53,7 +53,7 @@
 		defer cancel()
 		leave()
 		announcer.Tell(ctx, "leaving")
-		pause(ctx, time.Second)
+		conductor.Pause(ctx, time.Second)
 		_ = service.Shutdown(ctx)
 	})
 }
--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/gossiper"
 	"github.com/boragehead/boragehead/internal/granter"
 	"github.com/boragehead/boragehead/internal/keeper"
@@ -76,7 +77,7 @@
 	endpoint := messenger.Endpoint{Name: to.Name, Address: to.Address}
 	for ctx.Err() == nil {
 		if !w.direct() {
-			pause(ctx, time.Second)
+			conductor.Pause(ctx, time.Second)
 			continue
 		}
 		w.ask(ctx, endpoint)
@@ -90,14 +91,14 @@
 		leads := w.leads()
 		self := slices.ContainsFunc(leads, func(i granter.Instance) bool { return i.Name == w.settings.Name })
 		if self || slot >= len(leads) {
-			pause(ctx, time.Second)
+			conductor.Pause(ctx, time.Second)
 			continue
 		}
 		if endpoint, known := w.fleet.find(leads[slot].Name); known {
 			w.ask(ctx, endpoint)
 			continue
 		}
-		pause(ctx, watchPause)
+		conductor.Pause(ctx, watchPause)
 	}
 	return nil
 }
@@ -109,7 +110,7 @@
 	news, err := messenger.Call[watcher.Query, watcher.News](call, w.client, to, keeper.MethodWatch, w.query())
 	if err != nil {
 		w.client.Reset(to)
-		pause(ctx, watchPause)
+		conductor.Pause(ctx, watchPause)
 		return
 	}
 	w.mu.Lock()
@@ -143,12 +144,3 @@
 	w.mu.Unlock()
 	return watcher.Await(ctx, w.follower, query), nil
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
