runner: paths reach the filters as they came

Cause: http.ServeMux cleans paths and answers 307 for /depots//a/../b, so that a path could change on its way to the filters. Change: the native gate's own pages are looked up by their exact paths; all else is handed on.

--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -129,11 +129,14 @@
 		return route.HandleRelayed(ctx, x, send.Handle)
 	}, g.reporter)
 
-	callers := http.NewServeMux()
-	callers.Handle("GET /v1/instances", director.New(g.settings.Region, g.fleet, g.auth))
-	callers.HandleFunc("GET /v1/metrics", g.serveMetrics)
-	callers.HandleFunc("GET /v1/health", g.serveHealth)
-	callers.Handle("/", acceptor.New(chain, g.reporter))
+	callers := pages{
+		own: map[string]http.Handler{
+			"/v1/instances": director.New(g.settings.Region, g.fleet, g.auth),
+			"/v1/metrics":   http.HandlerFunc(g.serveMetrics),
+			"/v1/health":    http.HandlerFunc(g.serveHealth),
+		},
+		others: acceptor.New(chain, g.reporter),
+	}
 	g.callers = &http.Server{
 		Handler:           g.stopping.wrap(callers),
 		ReadHeaderTimeout: acceptor.HeaderTimeout,
@@ -339,6 +342,21 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// pages serves the instance's own pages and hands all other requests on, with
+// their paths as they came: http.ServeMux would redirect those that are not clean.
+type pages struct {
+	own    map[string]http.Handler
+	others http.Handler
+}
+
+func (p pages) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	page, own := p.own[r.URL.Path]
+	if !own || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		page = p.others
+	}
+	page.ServeHTTP(w, r)
+}
+
 // stopping asks callers to close their connections once a stop has begun.
 type stopping struct {
 	begun atomic.Bool
