--- a/internal/beaconer/beaconer.go
+++ b/internal/beaconer/beaconer.go
@@ -132,7 +132,7 @@
 			return nil
 		}
 		if err != nil {
-			// An unreachable receiver may be reported here; the port lives on.
+			// An unreachable receiver may be reported here; the port stays open.
 			conductor.Pause(ctx, readPause)
 			continue
 		}
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -1,9 +1,9 @@
 // Package exchanger carries one request through the filters of an entry
 // instance.
 //
-// The one idea: an [Exchange] walks one way through a [Chain] of filters. Each
-// adds what it has decided and calls the next, or ends the walk with a
-// [Refusal]. Whoever asked gets exactly one answer.
+// The one idea: an [Exchange] passes through a [Chain] of filters in order. Each
+// adds what it has decided and calls the next, or ends the exchange with a
+// [Refusal]. The caller gets exactly one answer.
 package exchanger
 
 import (
--- a/internal/reporter/counts.go
+++ b/internal/reporter/counts.go
@@ -46,7 +46,7 @@
 	w.Long.add(other.Long)
 }
 
-// series is a ring of buckets, coarser for what there is much of.
+// series is a ring of buckets.
 type series struct {
 	width   time.Duration
 	buckets []Count
--- a/internal/router/decide.go
+++ b/internal/router/decide.go
@@ -8,8 +8,8 @@
 	"github.com/boragehead/boragehead/internal/tabler"
 )
 
-// What leaving is worth. The gain in waiting time must exceed the price of
-// the link before a request leaves its failure domain or its region.
+// Weights of relaying. The gain in waiting time must exceed the price of the link
+// before a request leaves its failure domain or its region.
 const (
 	domainPrice = 50 * time.Millisecond
 	regionPrice = time.Second
