conductor: a port is closed only once the requests that it has read are answered

Ruled out: the drained listener itself (the connection had been accepted and its request sent). Change: a port drains its listener, waits until no connection is new or at work, and shuts the server down then; native and self-managed processes share it.

--- a/internal/conductor/listener_test.go
+++ b/internal/conductor/listener_test.go
@@ -15,8 +15,12 @@
 // server accepts, and drains the listener then.
 func TestDrainedListenerServesWhoHasConnected(t *testing.T) {
 	const callers = 20
-	listener, err := Listen("127.0.0.1:0")
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	})}
+	port, err := NewPort(server, "127.0.0.1:0")
 	assert.NilError(t, err)
+	listener := port.Listener
 	var conns []net.Conn
 	for range callers {
 		conn, err := net.Dial("tcp", listener.Addr().String())
@@ -25,15 +29,11 @@
 		assert.NilError(t, err)
 		conns = append(conns, conn)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.WriteHeader(http.StatusNoContent)
-	})}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
-	listener.Drain(context.Background())
+	assert.NilError(t, port.Close(context.Background(), 0))
 	_, err = net.Dial("tcp", listener.Addr().String())
 	assert.ErrorContains(t, err, "refused")
-	assert.NilError(t, server.Shutdown(context.Background()))
 	assert.Assert(t, errors.Is(<-ended, http.ErrServerClosed))
 	for _, conn := range conns {
 		answer, err := io.ReadAll(conn)
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -85,7 +85,7 @@
 		defer cancel()
 		klog.InfoS("stopping")
 		c.HandOver(ctx)
-		operators.close(ctx)
-		directory.close(ctx)
+		_ = operators.Close(ctx, 0) // what is still open is cut at the limit
+		_ = directory.Close(ctx, 0)
 	})
 }
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -51,7 +51,7 @@
 	settings  loader.Entry
 	follower  *follower.Follower
 	forwarder *forwarder.Forwarder
-	callers   *port
+	callers   *conductor.Port
 }
 
 // RunEntry serves an entry instance until a signal has stopped it. Path is the
@@ -105,11 +105,12 @@
 	if deadline, bounded := ctx.Deadline(); bounded {
 		e.forwarder.StopAt(deadline)
 	}
-	for ctx.Err() == nil && (e.forwarder.Active() > 0 || time.Since(began) < stopLinger || !e.callers.connections.Quiet(time.Now(), began, stopQuiet)) {
+	for ctx.Err() == nil && (e.forwarder.Active() > 0 || time.Since(began) < stopLinger || !e.callers.Quiet(began, stopQuiet)) {
 		conductor.Pause(ctx, stopPoll)
 	}
 	klog.InfoS("stopped", "active", e.forwarder.Active(), "took", time.Since(began))
+	e.callers.Listener.Drain(ctx)
 	last, cancelLast := context.WithTimeout(context.Background(), stopReserve/2)
 	defer cancelLast()
-	e.callers.close(last)
+	_ = e.callers.Close(last, 0) // what is still open is cut at the limit
 }
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -74,26 +74,17 @@
 }
 
 // serve adds an HTTP server on an address.
-func (p *ports) serve(actors *conductor.Actors, name string, address netip.AddrPort, handler http.Handler) *port {
-	opened := &port{Server: newServer(handler), listener: p.open(name, address)}
-	opened.ConnState = opened.connections.Track
-	if p.err == nil {
-		actors.Serve(name, opened.Server, opened.listener)
+func (p *ports) serve(actors *conductor.Actors, name string, address netip.AddrPort, handler http.Handler) *conductor.Port {
+	if p.err != nil {
+		return nil
 	}
-	return opened
-}
-
-// port is an HTTP server with its listener and its open connections.
-type port struct {
-	*http.Server
-	listener    *conductor.Listener
-	connections conductor.Connections
-}
-
-// close ends a port in order: who has connected is served.
-func (p *port) close(ctx context.Context) {
-	p.listener.Drain(ctx)
-	_ = p.Shutdown(ctx) // what is still open is cut at the limit
+	port, err := conductor.NewPort(newServer(handler), address.String())
+	if err != nil {
+		p.err = trace.Wrap(err, name)
+		return nil
+	}
+	actors.Serve(name, port.Server, port.Listener)
+	return port
 }
 
 // reloader reads the settings again on SIGHUP and when the file has changed.
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -72,12 +72,11 @@
 	stopping   *stopping
 
 	callers *http.Server
-	// connections are those of callers.
-	connections conductor.Connections
-	listener    atomic.Pointer[conductor.Listener]
-	backends    *http.Server
-	relays      *http.Server
-	mux         *messenger.Mux
+	// port is that of callers, once it is open.
+	port     atomic.Pointer[conductor.Port]
+	backends *http.Server
+	relays   *http.Server
+	mux      *messenger.Mux
 }
 
 // ServeGate serves an entry instance until a signal has stopped it.
@@ -141,7 +140,6 @@
 		Handler:           g.stopping.wrap(callers),
 		ReadHeaderTimeout: acceptor.HeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         g.connections.Track,
 	}
 	announcements := http.NewServeMux()
 	announcements.Handle("POST /v1/backends", &backendHandler{dispatcher: g.dispatcher})
@@ -263,20 +261,20 @@
 }
 
 func (g *Gate) listenCallers() (net.Listener, error) {
-	listener, err := conductor.Listen(g.settings.CallerAddress.String())
+	port, err := conductor.NewPort(g.callers, g.settings.CallerAddress.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "caller-address")
 	}
-	g.listener.Store(listener)
+	g.port.Store(port)
 	files := g.settings.CallerTLS
 	if files == nil {
-		return listener, nil
+		return port.Listener, nil
 	}
 	pair, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
 	if err != nil {
 		return nil, trace.Wrap(err, "caller-tls")
 	}
-	return tls.NewListener(listener, &tls.Config{
+	return tls.NewListener(port.Listener, &tls.Config{
 		MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}, NextProtos: []string{"http/1.1"},
 	}), nil
 }
@@ -316,13 +314,15 @@
 	g.fleet.announce(ctx, gossiper.StateStopping)
 	g.ledger.surrender(ctx)
 	conductor.Pause(ctx, cmp.Or(g.settings.StopLinger, defaultStopLinger))
-	for ctx.Err() == nil && !g.connections.Quiet(time.Now(), began, stopQuiet) {
-		conductor.Pause(ctx, stopPoll)
-	}
-	if listener := g.listener.Load(); listener != nil {
-		listener.Drain(ctx)
+	if port := g.port.Load(); port != nil {
+		for ctx.Err() == nil && !port.Quiet(began, stopQuiet) {
+			conductor.Pause(ctx, stopPoll)
+		}
+		if err := port.Close(ctx, stopQuiet); err != nil {
+			klog.ErrorS(err, "requests cut at the stop limit")
+		}
 	}
-	for _, server := range []*http.Server{g.callers, g.relays, g.backends} {
+	for _, server := range []*http.Server{g.relays, g.backends} {
 		if err := server.Shutdown(ctx); err != nil {
 			klog.ErrorS(err, "requests cut at the stop limit")
 		}
