messenger: a server that is closed takes no connection that was still being opened

The dump shows Server.Run waiting for one connection that it still served. A peer whose greeting came after close had gone through the known connections was noted afterwards and served for as long as it stayed open. Change: a closed server notes and serves no connection. A control instance that is told to stop could hang on this in production, too, until its peer went away.

--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -79,7 +79,9 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
-	wait  sync.WaitGroup
+	// closed servers take no connection.
+	closed bool
+	wait   sync.WaitGroup
 }
 
 // NewServer serves a mux on a listener.
@@ -132,6 +134,7 @@
 	_ = s.streams.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
@@ -172,14 +175,11 @@
 }
 
 func (s *Server) serveRPC(ctx context.Context, conn net.Conn, identity certifier.Identity) {
-	s.mu.Lock()
-	s.conns[conn] = struct{}{}
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.conns, conn)
-		s.mu.Unlock()
-	}()
+	if !s.hold(conn) {
+		_ = conn.Close()
+		return
+	}
+	defer s.drop(conn)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	server := rpc.NewServer()
@@ -190,6 +190,23 @@
 	server.ServeConn(conn)
 }
 
+// hold notes a connection, to be closed with the server. It reports false when
+// the server has been closed while the connection was opened.
+func (s *Server) hold(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.conns[conn] = struct{}{}
+	}
+	return !s.closed
+}
+
+func (s *Server) drop(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
 // endpoint is what net/rpc calls for one connection.
 type endpoint struct {
 	ctx  context.Context
