forwarder: log how a server's response was delimited and where it ended

The line now has framing (length, chunked, close), the bytes and complete events received, the events dropped as duplicates, and the bytes after the last complete event. Two counters go with it, responses-by-FRAMING and streams-ended-within-event. No decision changes.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -57,7 +57,7 @@
 			f.fleet.Finish(request.ID, placer.OutcomeAbandoned)
 			return &Refusal{Status: http.StatusServiceUnavailable, Reason: "stopping", RetryAfter: stoppingRetryAfter}
 		}
-		call.record.note = ""
+		call.record.note, call.record.received = "", receivedBody{}
 		result := f.makeAttempt(ctx, out, request.ID, decision)
 		if result == resultAnswered {
 			return nil
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -72,6 +72,7 @@
 	attempts      int
 	// timeToFirstByte is measured from the call's arrival; 0 until then.
 	timeToFirstByte time.Duration
+	received        receivedBody
 	// note describes what went wrong in the last attempt.
 	note   string
 	status int
--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -135,8 +135,14 @@
 // is complete.
 func (r *callerResponse) forwardStream(response *http.Response) (attemptResult, placer.Outcome) {
 	reader := bufio.NewReaderSize(response.Body, 8<<10)
+	received := &r.call.record.received
 	for {
 		event, err := readEvent(reader)
+		if err == nil {
+			received.events++
+		} else if received.unfinishedBytes = len(event); len(event) > 0 {
+			r.forwarder.metrics.Count("streams-ended-within-event")
+		}
 		if err == nil || errors.Is(err, io.EOF) && len(event) > 0 {
 			if !r.forwardEvent(response, event) {
 				r.call.record.note = "caller disconnected"
@@ -180,6 +186,7 @@
 func (r *callerResponse) forwardEvent(response *http.Response, event []byte) bool {
 	if id := eventID(event); id != "" {
 		if r.streamStarted && !eventFollows(id, r.lastEventID) {
+			r.call.record.received.duplicates++
 			return true // a duplicate from a resumed stream
 		}
 		r.lastEventID = id
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -179,6 +179,9 @@
 // the caller if it is a server's response to this request.
 func (f *Forwarder) handleResponse(out *callerResponse, response *http.Response) (attemptResult, placer.Outcome) {
 	call := out.call
+	call.record.received = receivedBody{framing: framingOf(response)}
+	response.Body = countingReader{response.Body, &call.record.received.bytes}
+	f.metrics.Count("responses-by-" + string(call.record.received.framing))
 	info := f.dialect.DecodeResponse(response)
 	switch {
 	case info.ID != "" && info.ID != call.ID:
