forwarder: test that a stream ending within an event is not complete

The caller gets the part of the event and a regular end. A last chunk within an event has the same effect.

--- a/internal/forwarder/output_test.go
+++ b/internal/forwarder/output_test.go
@@ -75,3 +75,48 @@
 		})
 	}
 }
+
+// serverHead is the head of a signed response that declares neither a length nor
+// chunks, up to the blank line.
+const serverHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nContent-Type: text/event-stream\r\n"
+
+// TestStreamEndingWithinEventIsNotComplete covers streams whose connection, or
+// last chunk, ends them in order within an event.
+func TestStreamEndingWithinEventIsNotComplete(t *testing.T) {
+	plain := definer.Route{Kind: definer.KindStream, Attempts: 2}
+	resumable := definer.Route{Kind: definer.KindStream, Attempts: 2, Resumable: true}
+	resume := func(w http.ResponseWriter, r *http.Request) {
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		respondEvents(last+1, 6, true)(w, r)
+	}
+	unframed := func(tail string) http.HandlerFunc { return respondRaw(serverHead + "\r\n" + eventsText(3) + tail) }
+	chunked := func(tail string) http.HandlerFunc {
+		body := eventsText(3) + tail
+		return respondRaw(fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", serverHead, len(body), body))
+	}
+	tests := []struct {
+		name     string
+		route    definer.Route
+		server   http.HandlerFunc
+		body     string
+		complete bool
+	}{
+		{"no framing, within a field", plain, unframed("id: 4\ndata: pie"), eventsText(3), false},
+		{"no framing, between two fields", plain, unframed("id: 4\n"), eventsText(3), false},
+		{"no framing, before the blank line", plain, unframed("id: 4\ndata: piece 4\n"), eventsText(3), false},
+		{"no framing, resumed at another server", resumable, unframed("id: 4\nda"), eventsText(6), true},
+		{"no framing, complete", plain, unframed(""), eventsText(3), true},
+		{"last chunk within an event", plain, chunked("id: 4\nda"), eventsText(3), false},
+		{"last chunk within an event, resumed", resumable, chunked("id: 4\nda"), eventsText(6), true},
+		{"last chunk after an event", plain, chunked(""), eventsText(3), true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := newTestGateway(t, test.route, test.server, resume)
+			status, body, err := g.do("POST", "/a", "prompt")
+			assert.Equal(t, status, 200, "%v", err)
+			assert.Equal(t, body, test.body)
+			assert.Equal(t, err == nil, test.complete, "%v", err)
+		})
+	}
+}
