forwarder: reset an HTTP/1.0 caller's connection under a broken stream

Cause: the end of a response to HTTP/1.0 is the end of its connection, and net/http closes that in order also when the handler aborts. HTTP/1.1 callers miss the last chunk instead and were not concerned.

Evidence: TestBrokenStreamLooksCompleteToHTTP10Caller read to the end without an error before; it now gets ECONNRESET. A complete stream still ends in order.

--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -5,12 +5,15 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/boragehead/boragehead/internal/placer"
 )
 
@@ -230,9 +233,27 @@
 func (r *callerResponse) abortConnection() {
 	r.call.record.status = statusStreamBroken
 	r.forwarder.reportCall(r.call, nil)
+	if !r.call.Request.ProtoAtLeast(1, 1) {
+		resetConnection(r.writer)
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetConnection closes a caller's connection by a reset. A response to an
+// HTTP/1.0 caller has no chunks, so that it ends with its connection, and an orderly
+// close would complete it.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		klog.ErrorS(err, "failed to reset the connection of an HTTP/1.0 caller")
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is already closed
+	}
+	_ = conn.Close()
+}
+
 // statusStreamBroken is logged for a stream that could not be completed. It is
 // not sent.
 const statusStreamBroken = 599
--- a/internal/forwarder/output_test.go
+++ b/internal/forwarder/output_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -138,3 +140,29 @@
 	assert.Equal(t, status, 200)
 	assert.Equal(t, body, "")
 }
+
+// TestBrokenStreamLooksCompleteToHTTP10Caller covers callers that know no chunks:
+// only a reset tells them that a stream is incomplete.
+func TestBrokenStreamLooksCompleteToHTTP10Caller(t *testing.T) {
+	tests := []struct {
+		name     string
+		complete bool
+	}{{"broken off", false}, {"complete", true}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := newTestGateway(t, definer.Route{Kind: definer.KindStream, Attempts: 1}, respondEvents(1, 3, test.complete))
+			conn, err := net.Dial("tcp", g.server.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "POST /a HTTP/1.0\r\nHost: gateway\r\nId: r1\r\nKey: key-one\r\n\r\n")
+			assert.NilError(t, err)
+			text, err := io.ReadAll(conn)
+			if test.complete {
+				assert.NilError(t, err)
+				assert.Assert(t, strings.HasSuffix(string(text), "\r\n\r\n"+eventsText(3)), "%s", text)
+				return
+			}
+			assert.ErrorIs(t, err, syscall.ECONNRESET)
+		})
+	}
+}
