forwarder: no resume after events that have no id

Callers of a resumable stream could get pieces twice, joined from two runs: the stream broke off after an event without an id, and the next server, which was told the last id or none, sent that event again.

Cause: the response to the caller remembered the last id, but not whether events had followed it. An event without an id also passes the check for duplicates.

The stream is now resumed only if the last event that was forwarded has an id; comments don't count. Else the caller's connection is aborted.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -62,7 +62,7 @@
 		if result == resultAnswered {
 			return nil
 		}
-		if ctx.Err() != nil || result != resultDeclined && !call.Route.Repeatable() {
+		if ctx.Err() != nil || result != resultDeclined && !call.Route.Repeatable() || !out.canContinue() {
 			return f.giveUp(ctx, out)
 		}
 		if decision.Server != nil {
--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -37,6 +37,9 @@
 	// lastEventID is the id of the last event that was forwarded, or the one that
 	// the caller named.
 	lastEventID string
+	// unnumberedEvents means that events without an id were forwarded after
+	// lastEventID, so that resuming would repeat them.
+	unnumberedEvents bool
 	// serverFailure, unless nil, is a server's error response. It is forwarded if
 	// no attempt succeeds.
 	serverFailure *bufferedResponse
@@ -195,6 +198,9 @@
 			return true // a duplicate from a resumed stream
 		}
 		r.lastEventID = id
+		r.unnumberedEvents = false
+	} else if !isComments(event) {
+		r.unnumberedEvents = true
 	}
 	if !r.streamStarted {
 		r.startStream(response)
@@ -203,6 +209,12 @@
 	return err == nil
 }
 
+// canContinue reports whether another attempt can complete the response: nothing of
+// it has been sent, or the stream can be resumed after what was sent.
+func (r *callerResponse) canContinue() bool {
+	return !r.streamStarted || r.lastEventID != "" && !r.unnumberedEvents
+}
+
 // eventFollows reports whether the event with an id comes after the one with the
 // last id. Ids that are not numbers are assumed to arrive in order.
 func eventFollows(id, last string) bool {
--- a/internal/forwarder/output_test.go
+++ b/internal/forwarder/output_test.go
@@ -166,3 +166,33 @@
 		})
 	}
 }
+
+// TestResumeRepeatsEventsWithoutID covers a stream that breaks off after an event
+// that no Last-Event-Id can name.
+func TestResumeRepeatsEventsWithoutID(t *testing.T) {
+	route := definer.Route{Kind: definer.KindStream, Attempts: 2, Resumable: true}
+	const piece, comment = "data: piece 2\n\n", ": keep-alive\n\n"
+	broken := func(events string) http.HandlerFunc {
+		return respondRaw(serverHead + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(events), events))
+	}
+	tests := []struct {
+		name     string
+		events   string
+		body     string
+		complete bool
+	}{
+		{"last event without an id", eventsText(1) + piece, eventsText(1) + piece, false},
+		{"no event with an id", piece, piece, false},
+		{"id after the event without one", piece + eventsText(1), piece + eventsText(1) + "data: rest\n\n", true},
+		{"last event is a comment", eventsText(1) + comment, eventsText(1) + comment + "data: rest\n\n", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := newTestGateway(t, route, broken(test.events), respondRaw(serverHead+"\r\ndata: rest\n\n"))
+			status, body, err := g.do("POST", "/a", "prompt")
+			assert.Equal(t, status, 200, "%v", err)
+			assert.Equal(t, body, test.body)
+			assert.Equal(t, err == nil, test.complete, "%v", err)
+		})
+	}
+}
--- a/internal/forwarder/received.go
+++ b/internal/forwarder/received.go
@@ -62,11 +62,12 @@
 	return nil
 }
 
-// isComments reports whether a part of a stream consists of comment lines only, or
-// is empty.
+// isComments reports whether a part of a stream has no lines but comments and blank
+// ones, all of them complete.
 func isComments(part []byte) bool {
 	for line := range bytes.Lines(part) {
-		if line[0] != ':' || line[len(line)-1] != '\n' {
+		isBlank := len(bytes.TrimRight(line, "\r\n")) == 0
+		if line[0] != ':' && !isBlank || line[len(line)-1] != '\n' {
 			return false
 		}
 	}
