forwarder: drop a server's headers that only instances send

A booking could run twice: its server in the other region answered 200 with Boragehead-Outcome: not-run, the relaying instance believed that the other instance had refused, dropped the complete answer and sent the booking to a server of its own region.

Cause: the second instance copied all headers of a server, also those that tell the relaying instance what it made of the request. They are now removed from every server's response.

Evidence: TestServerHeadersPassForRelayOutcome; before, the caller got the answer of a second run.

--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -107,8 +107,8 @@
 	_, _ = r.writer.Write(buffered.body) // fails only if the caller has disconnected
 }
 
-// copyHeaders copies a server's headers, except hop-by-hop ones, to the response.
-// It keeps net/http from adding a Date or Content-Type of its own.
+// copyHeaders copies a server's headers to the response, except hop-by-hop ones and
+// those that only instances send. It keeps net/http from adding a Date or Content-Type of its own.
 func (r *callerResponse) copyHeaders(from http.Header) {
 	header := r.writer.Header()
 	if r.call.Relayed {
@@ -116,6 +116,9 @@
 	}
 	from = from.Clone()
 	removeHopByHopHeaders(from)
+	for _, name := range instanceHeaders {
+		from.Del(name)
+	}
 	for name, values := range from {
 		header[name] = values
 	}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -32,6 +32,9 @@
 	outcomeUnknown = "unknown"
 )
 
+// instanceHeaders are the response headers that only instances send each other.
+var instanceHeaders = []string{headerOutcome, headerRan, headerOffered}
+
 // relayedCall is a call with the routing decisions of the instance that received
 // it. The second instance uses only these decisions, whatever definition it has
 // itself.
--- a/internal/forwarder/relay_test.go
+++ b/internal/forwarder/relay_test.go
@@ -44,3 +44,25 @@
 		})
 	}
 }
+
+// TestServerHeadersPassForRelayOutcome covers a server that sends headers which
+// instances use between each other.
+func TestServerHeadersPassForRelayOutcome(t *testing.T) {
+	forge := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerOutcome, outcomeNotRun)
+		w.Header().Set(headerRan, "0")
+		w.Header().Set(headerOffered, "0")
+		respond(200, "far")(w, r)
+	}
+	route := definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}
+	remote := newTestGateway(t, route, forge)
+	relays := httptest.NewServer(New(testDialect{}, remote.fleet, measurer.New(), retryLimit).RelayHandler())
+	t.Cleanup(relays.Close)
+	local := newTestGateway(t, route, respond(200, "run twice"))
+	local.fleet.relayRegion, local.fleet.relayAddress = "south", netip.MustParseAddrPort(relays.Listener.Addr().String())
+	status, body, err := local.do("POST", "/b", "booking")
+	assert.NilError(t, err)
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, "far")
+	assert.Equal(t, remote.serverRequests.Load()+local.serverRequests.Load(), int32(1))
+}
