sender: a resumed stream takes no answer that is not a stream

A caller could get a second answer inside a started stream: the stream broke off, its resume was answered 200 with a body of another type, and that body was written after the events, as a complete answer.

Cause: once a stream has started only the status of the next response was checked, not its type. Such a response now counts as a failed resume; the stream is resumed again or ends with the error event.

TestResumedStreamGetsSecondAnswer failed before.

--- a/internal/sender/attempt.go
+++ b/internal/sender/attempt.go
@@ -103,7 +103,7 @@
 	if refusedBeforeRunning(response) {
 		return stream.failedAttempt(false)
 	}
-	if stream.started && response.StatusCode != http.StatusOK {
+	if stream.started && !isStream(response) {
 		return attemptPartial
 	}
 	if isRetryableStatus(response.StatusCode) {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -138,6 +140,59 @@
 	}
 }
 
+// startHandlers starts scripted backend servers and returns a sender for them.
+func startHandlers(t *testing.T, handlers ...http.HandlerFunc) *sender.Sender {
+	f := &fakeDependencies{}
+	for _, handler := range handlers {
+		listener := httptest.NewServer(handler)
+		t.Cleanup(listener.Close)
+		f.servers = append(f.servers, netip.MustParseAddrPort(listener.Listener.Addr().String()))
+	}
+	return sender.New(f, f, f, 1)
+}
+
+// respondInTurn calls one handler for each request, the last one for all further
+// requests.
+func respondInTurn(handlers ...http.HandlerFunc) http.HandlerFunc {
+	var calls atomic.Int32
+	return func(w http.ResponseWriter, r *http.Request) {
+		handlers[min(int(calls.Add(1)), len(handlers))-1](w, r)
+	}
+}
+
+// respondRaw writes raw bytes and closes the connection in order.
+func respondRaw(raw string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, raw)
+		_ = conn.Close()
+	}
+}
+
+// The headers of responses that declare neither a length nor chunks.
+const (
+	streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	jsonHead   = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+	firstEvent = "id: request-1/1\ndata: one\n\n"
+	doneEvent  = "data: [DONE]\n\n"
+)
+
+// TestResumedStreamGetsSecondAnswer covers a resumed stream that is answered 200
+// with something else than a stream.
+func TestResumedStreamGetsSecondAnswer(t *testing.T) {
+	s := startHandlers(t, respondInTurn(respondRaw(streamHead+firstEvent+"id: request-1/2\nda"), respondRaw(jsonHead+`{"second":1}`)))
+	x, writer := newExchange(streamedRequest, false)
+	assert.Assert(t, s.Handle(context.Background(), x) == nil)
+	body := writer.Body.String()
+	assert.Assert(t, strings.HasPrefix(body, firstEvent+"event: error\n"), "%s", body)
+	assert.Assert(t, !strings.Contains(body, "second"), "%s", body)
+	assert.Assert(t, x.Result.StreamError != nil)
+}
+
 // TestStreamEndsWithErrorAfterMaxResumes cuts a stream more often than it is
 // resumed. The caller gets an error event and no end marker.
 func TestStreamEndsWithErrorAfterMaxResumes(t *testing.T) {
