sender: no resume after events that have no id

Callers could get events twice, from two runs: a stream broke off after an event without an id, was resumed after the last event that had one, and the server sent the later event again.

Cause: lastEvent says where a resume begins, but not whether events without an id were written after it. Such a stream now ends with the error event instead of being resumed. Comments and an id on a later event make it resumable again.

--- a/internal/sender/attempt.go
+++ b/internal/sender/attempt.go
@@ -67,7 +67,7 @@
 	stream := &streamCopier{x: x, counters: s.counters, onFirstByte: t.onFirstByte}
 	for resumes := range maxResumes + 1 {
 		result := s.roundTrip(ctx, x, t, stream)
-		resumable := result == attemptPartial && stream.lastEvent != "" && ctx.Err() == nil && x.ClaimID == ""
+		resumable := result == attemptPartial && stream.canResume() && ctx.Err() == nil && x.ClaimID == ""
 		if !resumable || resumes == maxResumes {
 			if result == attemptPartial {
 				stream.writeError(ctx)
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -193,6 +193,34 @@
 	assert.Assert(t, x.Result.StreamError != nil)
 }
 
+// TestResumeRepeatsEventsWithoutID covers a stream that breaks off after an event
+// that no Last-Event-ID can name.
+func TestResumeRepeatsEventsWithoutID(t *testing.T) {
+	const piece, comment = "data: two\n\n", ": keep-alive\n\n"
+	tests := []struct {
+		name    string
+		events  string
+		resumed bool
+	}{
+		{"last event without an id", firstEvent + piece, false},
+		{"id after the event without one", piece + firstEvent, true},
+		{"last event is a comment", firstEvent + comment, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := startHandlers(t, respondInTurn(respondRaw(streamHead+test.events), respondRaw(streamHead+piece+doneEvent)))
+			x, writer := newExchange(streamedRequest, false)
+			assert.Assert(t, s.Handle(context.Background(), x) == nil)
+			body := writer.Body.String()
+			if test.resumed {
+				assert.Equal(t, body, test.events+piece+doneEvent)
+				return
+			}
+			assert.Assert(t, strings.HasPrefix(body, test.events+"event: error\n"), "%s", body)
+		})
+	}
+}
+
 // TestStreamEndsWithErrorAfterMaxResumes cuts a stream more often than it is
 // resumed. The caller gets an error event and no end marker.
 func TestStreamEndsWithErrorAfterMaxResumes(t *testing.T) {
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -39,6 +39,9 @@
 	lastEvent string
 	// lastSequence is the number in lastEvent.
 	lastSequence int64
+	// unnumberedEvents means that events without an id were written after
+	// lastEvent, so that resuming would repeat them.
+	unnumberedEvents bool
 	// tokens is the number of events written, taken as one token each.
 	tokens int64
 }
@@ -50,6 +53,11 @@
 	data []byte
 }
 
+// canResume reports whether the stream can be resumed after what was written.
+func (s *streamCopier) canResume() bool {
+	return s.lastEvent != "" && !s.unnumberedEvents
+}
+
 // failedAttempt returns the result of an attempt that gave no complete response.
 func (s *streamCopier) failedAttempt(mayHaveRun bool) attemptResult {
 	switch {
@@ -97,6 +105,7 @@
 func (s *streamCopier) accept(ev event) (forward, valid bool) {
 	requestID, number, found := strings.Cut(ev.id, "/")
 	if !found {
+		s.unnumberedEvents = s.unnumberedEvents || ev.data != nil
 		return true, true
 	}
 	if requestID != s.x.ID {
@@ -114,6 +123,7 @@
 	}
 	s.lastSequence = sequence
 	s.lastEvent = ev.id
+	s.unnumberedEvents = false
 	return true, true
 }
 
