sender: a relayed stream that breaks off is not resumed

Callers could get the beginning of one run and the rest of another: a stream broke off between two instances, the first one asked the second again with Last-Event-ID, the second ran the request anew, and the first dropped the events whose numbers the caller already had.

Cause: a relay has no place for Last-Event-ID, and no instance knows which server ran the request, so that a resume over a relay is a second run. When the other instance gave the stream up, its error event was passed on as an event of the stream and a second one followed.

A relayed stream that breaks off now ends with one error event. The other instance still resumes the stream at its own server.

--- a/internal/sender/attempt.go
+++ b/internal/sender/attempt.go
@@ -60,14 +60,15 @@
 var returnedHeaders = []string{"Content-Type", "Content-Language", "Retry-After", exchanger.HeaderOutcome, exchanger.HeaderUsage}
 
 // sendWithResume makes one attempt and resumes its stream, up to maxResumes
-// times, if that ends early. A stream that still ends early is terminated with an
-// error event. It also returns the number of events written to the caller, as an
-// estimate of the tokens generated.
+// times, if that ends early. A relayed stream is not resumed, because the other
+// instance would run the request anew. A stream that still ends early is
+// terminated with an error event. It also returns the number of events written to
+// the caller, as an estimate of the tokens generated.
 func (s *Sender) sendWithResume(ctx context.Context, x *exchanger.Exchange, t target) (attemptResult, int64) {
-	stream := &streamCopier{x: x, counters: s.counters, onFirstByte: t.onFirstByte}
+	stream := &streamCopier{x: x, counters: s.counters, onFirstByte: t.onFirstByte, isRelay: t.isRelay}
 	for resumes := range maxResumes + 1 {
 		result := s.roundTrip(ctx, x, t, stream)
-		resumable := result == attemptPartial && stream.canResume() && ctx.Err() == nil && x.ClaimID == ""
+		resumable := result == attemptPartial && stream.canResume() && ctx.Err() == nil && x.ClaimID == "" && !t.isRelay
 		if !resumable || resumes == maxResumes {
 			if result == attemptPartial {
 				stream.writeError(ctx)
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -221,6 +221,44 @@
 	}
 }
 
+// fakePeers relays to one instance.
+type fakePeers struct{ baseURL string }
+
+func (p fakePeers) RelayTransport(string) (http.RoundTripper, string, bool) {
+	return http.DefaultTransport, p.baseURL, true
+}
+
+// TestBrokenRelayJoinsTwoRuns covers streams that break off between two instances.
+// The other instance would run the request anew, so the stream is not resumed.
+func TestBrokenRelayJoinsTwoRuns(t *testing.T) {
+	const peerError = "event: error\ndata: {\"peer\":1}\n\n"
+	tests := []struct{ name, events string }{
+		{"connection closed after an event", firstEvent},
+		{"connection closed within an event", firstEvent + "id: request-1/2\nda"},
+		{"the other instance gave up", firstEvent + peerError},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var runs atomic.Int32
+			run := respondInTurn(respondRaw(streamHead+test.events), respondRaw(streamHead+firstEvent+"id: request-1/2\ndata: second run\n\n"+doneEvent))
+			peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				run(w, r)
+			}))
+			t.Cleanup(peer.Close)
+			f := &fakeDependencies{}
+			x, writer := newExchange(streamedRequest, false)
+			x.Local, x.Relay = false, "peer"
+			assert.Assert(t, sender.New(f, fakePeers{peer.URL}, f, 1).Handle(context.Background(), x) == nil)
+			body := writer.Body.String()
+			assert.Assert(t, strings.HasPrefix(body, firstEvent+"event: error\n"), "%s", body)
+			assert.Equal(t, strings.Count(body, "event: error"), 1, "%s", body)
+			assert.Equal(t, runs.Load(), int32(1))
+			assert.Equal(t, x.Result.StreamError.Outcome, exchanger.OutcomePartial)
+		})
+	}
+}
+
 // TestStreamEndsWithErrorAfterMaxResumes cuts a stream more often than it is
 // resumed. The caller gets an error event and no end marker.
 func TestStreamEndsWithErrorAfterMaxResumes(t *testing.T) {
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -26,12 +26,17 @@
 // doneMarker is the data of the last event of a complete stream.
 const doneMarker = "[DONE]"
 
+// errorEventName is the name of the event with which an instance ends a stream that
+// it cannot complete.
+const errorEventName = "error"
+
 // streamCopier copies the events of one stream to the caller. It keeps its state
 // when the stream is resumed.
 type streamCopier struct {
 	x           *exchanger.Exchange
 	counters    Counters
 	onFirstByte func()
+	isRelay     bool
 	// started is true once the response header has been written to the caller.
 	started bool
 	// lastEvent is the id of the last accepted event that has an id. It is empty
@@ -49,6 +54,7 @@
 // event is one server-sent event. raw is its text with the blank line at its end.
 type event struct {
 	raw  []byte
+	name string
 	id   string
 	data []byte
 }
@@ -81,6 +87,10 @@
 	for scanner.Scan() {
 		stallTimer.Reset(stallTimeout)
 		ev := parseEvent(scanner.Bytes())
+		if s.isRelay && ev.name == errorEventName {
+			// The other instance gave the stream up; writeError reports it once.
+			return s.failedAttempt(true)
+		}
 		forward, valid := s.accept(ev)
 		if !valid {
 			return s.failedAttempt(true)
@@ -161,7 +171,7 @@
 	}
 	refusal.Outcome = exchanger.OutcomePartial
 	s.x.Result.StreamError = refusal
-	_, _ = fmt.Fprintf(s.x.Writer, "event: error\ndata: %s\n\n", refusal.JSON(s.x.ID))
+	_, _ = fmt.Fprintf(s.x.Writer, "event: %s\ndata: %s\n\n", errorEventName, refusal.JSON(s.x.ID))
 	_ = http.NewResponseController(s.x.Writer).Flush()
 }
 
@@ -181,7 +191,7 @@
 	return end + width, data[:end+width], nil
 }
 
-// parseEvent returns the id and the data of an event. Other fields are ignored.
+// parseEvent returns the name, the id and the data of an event. Other fields are ignored.
 func parseEvent(raw []byte) event {
 	ev := event{raw: raw}
 	for line := range bytes.Lines(raw) {
@@ -189,6 +199,8 @@
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
+		case "event":
+			ev.name = string(value)
 		case "id":
 			ev.id = string(value)
 		case "data":
