sender: a number without framing is not known to be complete

A caller could get the first digits of a JSON number as a complete answer: a body that declares neither a length nor chunks was accepted if it was valid JSON, and the beginning of a number is.

Only a value that ends by itself (an object, array, string or literal) is now taken without framing; a number counts as lost, outcome unknown. TestUnframedBodyThatMayGoOnIsNotComplete failed in 1 of 6 cases before; the others cover what already held.

--- a/internal/sender/attempt.go
+++ b/internal/sender/attempt.go
@@ -197,12 +197,21 @@
 
 // isComplete reports whether a body that was read without an error is known to be
 // complete: by its Content-Length, by its last chunk or, without either, because
-// it is a valid JSON value. A JSON body must be valid in any case.
+// it is a valid JSON value that ends by itself. A JSON body must be valid in any
+// case.
 func isComplete(response *http.Response, body []byte) bool {
 	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
 		return !isJSON(response) || json.Valid(body)
 	}
-	return isJSON(response) && json.Valid(body)
+	return isJSON(response) && json.Valid(body) && !endsWithDigit(body)
+}
+
+// endsWithDigit reports whether a JSON value is a number, of which more digits may
+// be missing.
+func endsWithDigit(value []byte) bool {
+	value = bytes.TrimSpace(value)
+	last := value[len(value)-1]
+	return '0' <= last && last <= '9'
 }
 
 func isJSON(response *http.Response) bool {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -290,6 +290,34 @@
 	}
 }
 
+// TestUnframedBodyThatMayGoOnIsNotComplete covers bodies that end with their
+// connection. Only a JSON value that ends by itself is known to be complete.
+func TestUnframedBodyThatMayGoOnIsNotComplete(t *testing.T) {
+	tests := []struct {
+		name, raw string
+		complete  bool
+	}{
+		{"object", jsonHead + `{"booking":12}` + "\n", true},
+		{"string", jsonHead + `"booked"`, true},
+		{"part of an object", jsonHead + `{"booking":1`, false},
+		{"number, perhaps its first digits", jsonHead + `12`, false},
+		{"no JSON", strings.Replace(jsonHead, "application/json", "text/plain", 1) + "booked", false},
+		{"number with a length", strings.Replace(jsonHead, "\r\n\r\n", "\r\nContent-Length: 2\r\n\r\n", 1) + `12`, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x, writer := newExchange("swap", true)
+			refusal := startHandlers(t, respondRaw(test.raw)).Handle(context.Background(), x)
+			if test.complete {
+				assert.Assert(t, refusal == nil)
+				assert.Assert(t, strings.HasSuffix(test.raw, "\r\n\r\n"+writer.Body.String()))
+				return
+			}
+			assert.Equal(t, refusal.OutcomeOrNotRun(), exchanger.OutcomeUnknown)
+		})
+	}
+}
+
 // TestReportedOutcomeMatchesRuns compares the outcome reported to the caller of a
 // request that must not run twice with the number of runs that the servers counted.
 func TestReportedOutcomeMatchesRuns(t *testing.T) {
