claimer: a stream that broke off is not stored as the whole answer

A caller that resent a booking with its Idempotency-Key got the part of a stream that had reached the instance, as a complete replayed answer.

Cause: the sender ends a stream that it cannot complete with an error event and returns no refusal, and the filter took no refusal for a complete response. The claim is now finished without a response, so that resent requests get outcome-unknown and the work never runs again.

--- a/internal/claimer/filter.go
+++ b/internal/claimer/filter.go
@@ -167,7 +167,8 @@
 		return refusal
 	}
 	finish := Finish{Key: key, Attempt: x.ID}
-	if refusal == nil {
+	isComplete := refusal == nil && x.Result.StreamError == nil
+	if isComplete {
 		finish.Response = buffered.response()
 	}
 	f.recordOutcome(region, Command{Finish: &finish})
