claimer: replay a stored answer with its headers

A caller that resent a booking got the stored answer without its language, its reported usage and its length: the replay was not the whole answer.

Cause: of the header only Content-Type was stored. The header is now stored beside it. Records of earlier versions still replay, and earlier versions still find the type where they look for it; a header above MaxResponseBytes makes the record truncated, as a body does. The size of a header is computed in one place, exchanger.HeaderSize.

TestReplayDropsHeaders failed before; TestReplayOfEarlierRecord covers records without a header.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -69,7 +69,7 @@
 
 // runChain refuses requests with too large a header and runs the chain for others.
 func (a *Acceptor) runChain(ctx context.Context, x *exchanger.Exchange) *exchanger.Refusal {
-	if headerSize(x.Request) > MaxHeaderBytes {
+	if len(x.Request.URL.RequestURI())+exchanger.HeaderSize(x.Request.Header) > MaxHeaderBytes {
 		return exchanger.Refuse(http.StatusRequestHeaderFieldsTooLarge, exchanger.CodeHeaderTooLarge, "the header is larger than 32 KiB")
 	}
 	return a.handler(ctx, x)
@@ -90,17 +90,6 @@
 		"status", x.Result.Status, "outcome", outcome, "code", code, "elapsed", time.Since(x.Arrived))
 }
 
-// headerSize returns the size of the request URI and the header fields in bytes.
-func headerSize(r *http.Request) int {
-	size := len(r.URL.RequestURI())
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += len(name) + len(value)
-		}
-	}
-	return size
-}
-
 // newRequestID returns 96 random bits in hexadecimal.
 func newRequestID() string {
 	id := make([]byte, 12)
--- a/internal/claimer/claims.go
+++ b/internal/claimer/claims.go
@@ -8,6 +8,7 @@
 package claimer
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -20,7 +21,8 @@
 	// Retention is how long a claim and its outcome are stored, counted from the
 	// claim.
 	Retention = 24 * time.Hour
-	// MaxResponseBytes bounds the body of a stored response, in bytes.
+	// MaxResponseBytes bounds the body and, separately, the header of a stored
+	// response, in bytes.
 	MaxResponseBytes = 64 << 10
 	// MaxClaims bounds the number of claims in a group. New claims beyond it are
 	// refused; stored ones are not evicted.
@@ -55,11 +57,14 @@
 
 // Response is the stored response of finished work.
 type Response struct {
-	Status      int    `cbor:"s"`
-	ContentType string `cbor:"t"`
-	Body        []byte `cbor:"b"`
-	// Truncated means that the body was larger than MaxResponseBytes and is not
-	// stored.
+	Status int `cbor:"s"`
+	// ContentType repeats a field of Header. Versions without Header read and write
+	// only this one.
+	ContentType string      `cbor:"t"`
+	Header      http.Header `cbor:"h,omitempty"`
+	Body        []byte      `cbor:"b"`
+	// Truncated means that the response was larger than MaxResponseBytes, and that
+	// neither body nor header are stored.
 	Truncated bool `cbor:"x,omitempty"`
 }
 
--- a/internal/claimer/filter.go
+++ b/internal/claimer/filter.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"net/http"
 	"time"
 
@@ -199,10 +200,12 @@
 		return exchanger.Refuse(http.StatusConflict, exchanger.CodeOutcomeUnknown,
 			"the work ran once, but its answer was too large to keep").WithOutcome(exchanger.OutcomePartial)
 	}
+	header := x.Writer.Header()
 	if response.ContentType != "" {
-		x.Writer.Header().Set("Content-Type", response.ContentType)
+		header.Set("Content-Type", response.ContentType)
 	}
-	x.Writer.Header().Set("Idempotency-Replayed", "true")
+	maps.Copy(header, response.Header)
+	header.Set("Idempotency-Replayed", "true")
 	x.Result.Status = response.Status
 	x.Writer.WriteHeader(response.Status)
 	_, _ = x.Writer.Write(response.Body)
@@ -229,18 +232,14 @@
 
 // response returns the response as it is stored in the claim group.
 func (r *bufferedResponse) response() *Response {
-	response := &Response{Status: r.status, ContentType: r.header.Get("Content-Type"), Body: r.body.Bytes()}
-	if len(response.Body) > MaxResponseBytes {
-		response.Body = nil
-		response.Truncated = true
+	if r.body.Len() > MaxResponseBytes || exchanger.HeaderSize(r.header) > MaxResponseBytes {
+		return &Response{Status: r.status, Truncated: true}
 	}
-	return response
+	return &Response{Status: r.status, ContentType: r.header.Get("Content-Type"), Header: r.header, Body: r.body.Bytes()}
 }
 
 func (r *bufferedResponse) copyTo(w http.ResponseWriter) {
-	for name, values := range r.header {
-		w.Header()[name] = values
-	}
+	maps.Copy(w.Header(), r.header)
 	w.WriteHeader(r.status)
 	_, _ = w.Write(r.body.Bytes())
 }
--- a/internal/claimer/filter_test.go
+++ b/internal/claimer/filter_test.go
@@ -54,3 +54,42 @@
 	assert.Equal(t, refusal.Code, exchanger.CodeOutcomeUnknown)
 	assert.Equal(t, refusal.OutcomeOrNotRun(), exchanger.OutcomeUnknown)
 }
+
+// TestReplayDropsHeaders resends a booking whose answer has more headers than its
+// type.
+func TestReplayDropsHeaders(t *testing.T) {
+	g := newFaultlessGroup()
+	_, first := handleWith(g, "request-1", func(_ context.Context, x *exchanger.Exchange) *exchanger.Refusal {
+		header := x.Writer.Header()
+		header.Set("Content-Type", "text/plain")
+		header.Set("Content-Language", "ms")
+		header.Set(exchanger.HeaderUsage, "12")
+		header.Set("Content-Length", "6")
+		x.Writer.WriteHeader(http.StatusCreated)
+		_, _ = x.Writer.Write([]byte("booked"))
+		return nil
+	})
+	refusal, replayed := handleWith(g, "request-2", runTwice)
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, replayed.Code, first.Code)
+	assert.Equal(t, replayed.Body.String(), first.Body.String())
+	assert.Equal(t, replayed.Header().Get("Idempotency-Replayed"), "true")
+	replayed.Header().Del("Idempotency-Replayed")
+	assert.DeepEqual(t, replayed.Header(), first.Header())
+}
+
+// TestReplayOfEarlierRecord replays a response that was stored without its headers.
+func TestReplayOfEarlierRecord(t *testing.T) {
+	g := newFaultlessGroup()
+	key := claimer.Key{Workspace: "w", Route: "swaps", Key: "key"}
+	_, _ = handleWith(g, "request-1", func(context.Context, *exchanger.Exchange) *exchanger.Refusal {
+		g.claims.Apply(claimer.Command{Finish: &claimer.Finish{Key: key, Attempt: "request-1", Response: &claimer.Response{
+			Status: http.StatusOK, ContentType: "text/plain", Body: []byte("booked"),
+		}}})
+		return nil
+	})
+	refusal, replayed := handleWith(g, "request-2", runTwice)
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, replayed.Header().Get("Content-Type"), "text/plain")
+	assert.Equal(t, replayed.Body.String(), "booked")
+}
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -91,6 +91,17 @@
 	FirstByte time.Time
 }
 
+// HeaderSize returns the size of the names and values of a header, in bytes.
+func HeaderSize(header http.Header) int {
+	size := 0
+	for name, values := range header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
 // Handler handles an exchange. It returns nil if it has written the response, and
 // otherwise the refusal to write in its place.
 type Handler func(ctx context.Context, x *Exchange) *Refusal
