--- /dev/null
+++ b/internal/sender/complete_test.go
@@ -0,0 +1,88 @@
+package sender_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/boragehead/boragehead/internal/exchanger"
+)
+
+// resetDelay gives the sender time to read what was sent before a reset, which
+// discards it otherwise. The verdict does not depend on it.
+const resetDelay = 20 * time.Millisecond
+
+// respondPart sends all but the last missing bytes of a body with a framing, and
+// then closes or resets the connection.
+func respondPart(contentType, framing, body string, missing int, reset bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		part := body[:len(body)-missing]
+		head := "HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\n"
+		switch framing {
+		case "length":
+			_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), part)
+		case "chunks":
+			_, _ = fmt.Fprintf(conn, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(part), part)
+			if missing == 0 {
+				_, _ = io.WriteString(conn, "0\r\n\r\n")
+			}
+		default:
+			_, _ = fmt.Fprintf(conn, "%s\r\n%s", head, part)
+		}
+		if reset {
+			time.Sleep(resetDelay)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	}
+}
+
+// TestBrokenResponseLooksComplete sends responses of every framing and ending. A
+// part of a stream must end with the error event, and no part of another response
+// may reach the caller.
+func TestBrokenResponseLooksComplete(t *testing.T) {
+	const booking = `{"booking":12,"server":"s"}`
+	const events = firstEvent + "id: request-1/2\ndata: two\n\n" + doneEvent
+	bodies := []struct{ contentType, body string }{{"application/json", booking}, {"text/event-stream", events}}
+	endings := []struct {
+		name    string
+		missing int
+		reset   bool
+	}{{"complete", 0, false}, {"closed early", 9, false}, {"reset", 9, true}, {"closed between events", len(doneEvent), false}}
+	for _, b := range bodies {
+		for _, framing := range []string{"length", "chunks", "neither"} {
+			for _, end := range endings {
+				t.Run(fmt.Sprintf("%s, framing %s, %s", b.contentType, framing, end.name), func(t *testing.T) {
+					x, writer := newExchange("swap", true)
+					refusal := startHandlers(t, respondPart(b.contentType, framing, b.body, end.missing, end.reset)).Handle(context.Background(), x)
+					received := writer.Body.String()
+					switch {
+					case end.missing == 0:
+						assert.Assert(t, refusal == nil)
+						assert.Equal(t, received, b.body)
+					case refusal != nil:
+						assert.Equal(t, refusal.OutcomeOrNotRun(), exchanger.OutcomeUnknown)
+						assert.Equal(t, received, "")
+					default:
+						assert.Equal(t, b.contentType, "text/event-stream")
+						part, _, hasError := strings.Cut(received, "event: error\n")
+						assert.Assert(t, hasError && strings.HasPrefix(events, part), "%s", received)
+						assert.Equal(t, x.Result.StreamError.Outcome, exchanger.OutcomePartial)
+					}
+				})
+			}
+		}
+	}
+}
