placer: a server that says in a response that it leaves gets no new work

Requests kept reaching a server that is leaving until its heartbeat told a control instance and that one told the entry instances; a server that says it only in its responses got them to its end.

Its condition in the log is "leaving".

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -286,6 +286,13 @@
 	f.placer.RecordFirstEvent(time.Now(), id)
 }
 
+// RecordNotice records what the server of a placed request says about itself.
+func (f *Follower) RecordNotice(id uint64, notice placer.Notice) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.placer.RecordNotice(time.Now(), id, notice)
+}
+
 // Finish ends a placed request and records its outcome.
 func (f *Follower) Finish(id uint64, outcome placer.Outcome) {
 	f.mu.Lock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -122,6 +122,8 @@
 	NotRun bool
 	// Signed means that the response carries a server's signature.
 	Signed bool
+	// Notice is what the server says about itself.
+	Notice placer.Notice
 }
 
 // Dialect defines the HTTP headers and the error format that callers and servers
@@ -161,6 +163,9 @@
 	// RecordFirstEvent records that the first byte of the response to a placed
 	// request has arrived.
 	RecordFirstEvent(id uint64)
+	// RecordNotice records what the server of a placed request says about itself in
+	// its response.
+	RecordNotice(id uint64, notice placer.Notice)
 	// Finish ends the placement of a request at a server.
 	Finish(id uint64, outcome placer.Outcome)
 	// ChargeQuota charges a workspace. If its quota is used up, ChargeQuota
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -79,6 +79,8 @@
 func (f *testFleet) InstanceCount() int      { return 2 }
 func (f *testFleet) RecordFirstEvent(uint64) {}
 
+func (f *testFleet) RecordNotice(uint64, placer.Notice) {}
+
 func (f *testFleet) Place(request placer.Request) placer.Decision {
 	if f.relayRegion != "" && !request.LocalOnly && len(request.TriedRegions) == 0 {
 		return placer.Decision{Region: f.relayRegion}
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -75,7 +75,7 @@
 		f.fleet.RecordFirstEvent(id)
 		f.metrics.Observe("server-first-byte", time.Since(started))
 	}
-	result, outcome := f.roundTrip(ctx, out, decision)
+	result, outcome := f.roundTrip(ctx, out, id, decision)
 	if ctx.Err() != nil && result != resultAnswered {
 		outcome = placer.OutcomeAbandoned
 	}
@@ -85,7 +85,7 @@
 
 // roundTrip sends a call to a server and handles the response. It returns the
 // result for the call and the outcome for the placer.
-func (f *Forwarder) roundTrip(ctx context.Context, out *callerResponse, decision placer.Decision) (attemptResult, placer.Outcome) {
+func (f *Forwarder) roundTrip(ctx context.Context, out *callerResponse, id uint64, decision placer.Decision) (attemptResult, placer.Outcome) {
 	server := decision.Server
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -111,6 +111,10 @@
 		return resultUnknown, placer.OutcomeFailed
 	}
 	defer func() { _ = response.Body.Close() }()
+	if notice := f.dialect.DecodeResponse(response).Notice; notice != (placer.Notice{}) {
+		f.fleet.RecordNotice(id, notice)
+		f.metrics.Count("server-notices")
+	}
 	runsBefore := out.possibleRuns
 	out.possibleRuns++ // until the server states that it did not run the request
 	result, outcome := f.handleResponse(out, response)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -107,6 +107,7 @@
 
 	serversByName  map[string]*server
 	placementsByID map[uint64]*placement
+	noticesByStart map[serverStart]notice
 	peersByName    map[string]peer
 	// remoteServices holds the services of other regions by region and service name.
 	remoteServices map[string]map[string]remoteService
@@ -119,7 +120,7 @@
 
 // placement is a request that was placed on a server and has not ended yet.
 type placement struct {
-	serverName     string
+	start          serverStart
 	load           Load
 	placedAt       time.Time
 	predictedWait  time.Duration
@@ -252,7 +253,7 @@
 	s.lastSent = now
 	p.recordOwnCacheFill(now, s, request.Work.Parts)
 	s.cache.insert(request.Work.Parts, s.cacheCapacity)
-	p.placementsByID[request.ID] = &placement{serverName: s.Name, load: load, placedAt: now, predictedWait: best.wait}
+	p.placementsByID[request.ID] = &placement{start: s.start(), load: load, placedAt: now, predictedWait: best.wait}
 	decision := Decision{Server: &s.Server, PredictedWait: best.wait, PredictedDuration: best.completion, CachedTokens: best.cachedTokens, UsableServers: best.usableServers}
 	if best.copySource != nil {
 		decision.CopySource = &best.copySource.Server
@@ -268,7 +269,7 @@
 		return
 	}
 	placed.firstEventSeen = true
-	if s, known := p.serversByName[placed.serverName]; known {
+	if s, known := p.serversByName[placed.start.name]; known {
 		s.ownLoad.PrefillTokens -= placed.load.PrefillTokens
 		s.loadChanged = true
 		s.recordLatency(now.Sub(placed.placedAt), placed.predictedWait)
@@ -303,7 +304,7 @@
 		return
 	}
 	delete(p.placementsByID, id)
-	s, known := p.serversByName[placed.serverName]
+	s, known := p.serversByName[placed.start.name]
 	if !known {
 		return
 	}
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -40,6 +40,7 @@
 	// cacheCapacity is how many tokens of earlier prompts the server is expected to
 	// keep cached.
 	cacheCapacity int64
+	notice        notice
 
 	health
 }
@@ -166,6 +167,7 @@
 			s.State = registrar.StateGone
 		}
 	}
+	p.dropOldNotices(now)
 	p.sumPeerLoads(now)
 }
 
@@ -179,6 +181,7 @@
 		if previous != nil {
 			s.ownLoad = previous.ownLoad
 		}
+		s.notice = p.noticesByStart[serverStart{name: announced.Name, atMillis: announced.StartedAtMillis}]
 		p.serversByName[announced.Name] = s
 	}
 	if until := now.Add(announced.Warmup - announced.Age); announced.Warmup > 0 && until.After(s.coldUntil) {
@@ -218,7 +221,7 @@
 
 // usable reports whether a server may be given requests now, warm or cold.
 func (p *Placer) usable(now time.Time, s *server) bool {
-	return s.State == registrar.StateReady && !s.Silent && !p.closedDomains[s.FailureDomain] && !s.ejected(now)
+	return s.State == registrar.StateReady && !s.notice.leaving && !s.Silent && !p.closedDomains[s.FailureDomain] && !s.ejected(now)
 }
 
 // ServerConditions returns the condition of every server of this region by name:
@@ -230,6 +233,8 @@
 		switch {
 		case s.State != registrar.StateReady:
 			conditions[name] = s.State.String()
+		case s.notice.leaving:
+			conditions[name] = registrar.StateLeaving.String()
 		case s.Silent:
 			conditions[name] = "silent"
 		case p.closedDomains[s.FailureDomain]:
