placer: a server that asks for a pause gets no requests until its end

A server that turned a request away with 503 and Retry-After got the next requests at once: 10 of 10 reached both servers of the test.

When no other server is left, the request is refused at once and the caller is told when the first server takes requests again.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -126,7 +126,11 @@
 	if out.possibleRuns > 0 || out.streamStarted {
 		return f.giveUp(ctx, out)
 	}
-	return &Refusal{Status: http.StatusServiceUnavailable, Reason: string(decision.RefusalReason), RetryAfter: decision.RetryAfter}
+	retryAfter := decision.RetryAfter
+	if decision.RefusalReason == placer.ReasonNoServer && out.remoteRetryAfter > 0 {
+		retryAfter = out.remoteRetryAfter // only the other region has servers
+	}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: string(decision.RefusalReason), RetryAfter: retryAfter}
 }
 
 // declinedRetryAfter is the time after which a caller should retry a request
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -27,13 +27,16 @@
 	// servers there.
 	headerRan     = "Boragehead-Ran"
 	headerOffered = "Boragehead-Offered"
+	// headerRetryAfter is how long a request that the second instance refused
+	// should wait, as a Go duration.
+	headerRetryAfter = "Boragehead-Retry-After"
 
 	outcomeNotRun  = "not-run"
 	outcomeUnknown = "unknown"
 )
 
 // instanceHeaders are the response headers that only instances send each other.
-var instanceHeaders = []string{headerOutcome, headerRan, headerOffered}
+var instanceHeaders = []string{headerOutcome, headerRan, headerOffered, headerRetryAfter}
 
 // relayedCall is a call with the routing decisions of the instance that received
 // it. The second instance uses only these decisions, whatever definition it has
@@ -102,6 +105,9 @@
 	switch response.Header.Get(headerOutcome) {
 	case outcomeNotRun:
 		out.offeredToServer = out.offeredToServer || response.Header.Get(headerOffered) != "0"
+		if wait, err := time.ParseDuration(response.Header.Get(headerRetryAfter)); err == nil { // earlier versions send none
+			out.remoteRetryAfter = wait
+		}
 		call.record.note = "other region refused the request: " + response.Status
 		return resultDeclined, 0
 	case outcomeUnknown:
@@ -160,6 +166,7 @@
 		}
 		w.Header().Set(headerRan, strconv.Itoa(refusal.PossibleRuns))
 		w.Header().Set(headerOffered, strconv.Itoa(call.record.attempts))
+		w.Header().Set(headerRetryAfter, refusal.RetryAfter.String())
 		w.Header().Set(headerOutcome, outcome)
 		w.WriteHeader(refusal.Status)
 	}
--- a/internal/placer/notice.go
+++ b/internal/placer/notice.go
@@ -9,6 +9,9 @@
 type Notice struct {
 	// Leaving means that the server gets no more requests until it starts again.
 	Leaving bool
+	// RetryAfter is how long the server wants no requests from this instance; 0 if
+	// it did not say.
+	RetryAfter time.Duration
 }
 
 // serverStart identifies one start of a server.
@@ -19,14 +22,19 @@
 
 // notice is what one start of a server has said so far.
 type notice struct {
-	leaving    bool
-	recordedAt time.Time
+	leaving bool
+	// backoffUntil is when the server takes requests of this instance again.
+	backoffUntil time.Time
+	recordedAt   time.Time
 }
 
 // noticeRetention is how long a notice is kept for a server that is not listed: such
 // a server may be listed again, as after a cut, and still be leaving.
 const noticeRetention = 10 * time.Minute
 
+// maxBackoff bounds how long a server is left alone at its own request.
+const maxBackoff = noticeRetention
+
 // RecordNotice records what the server of a placement said about itself. It ignores
 // unknown IDs.
 func (p *Placer) RecordNotice(now time.Time, id uint64, said Notice) {
@@ -40,12 +48,35 @@
 	recorded := p.noticesByStart[placed.start]
 	recorded.recordedAt = now
 	recorded.leaving = recorded.leaving || said.Leaving
+	if until := now.Add(min(said.RetryAfter, maxBackoff)); said.RetryAfter > 0 && until.After(recorded.backoffUntil) {
+		recorded.backoffUntil = until
+	}
 	p.noticesByStart[placed.start] = recorded
 	if s, listed := p.serversByName[placed.start.name]; listed && s.start() == placed.start {
 		s.notice = recorded
 	}
 }
 
+// refuseUnserved refuses a request that no server and no other region can serve. If
+// servers only want no requests for some time, the caller is told when the first of
+// them takes requests again.
+func (p *Placer) refuseUnserved(now time.Time, request Request) Decision {
+	refusal := Decision{RefusalReason: ReasonNoServer, RetryAfter: noServerRetryAfter}
+	if !request.mayRunIn(p.Region) {
+		return refusal
+	}
+	for _, s := range p.serversByName {
+		left := s.notice.backoffUntil.Sub(now)
+		if s.Service != request.Service.Name || left <= 0 || !p.listedAsUsable(now, s) {
+			continue
+		}
+		if refusal.RefusalReason == ReasonNoServer || left < refusal.RetryAfter {
+			refusal = Decision{RefusalReason: ReasonOverloaded, RetryAfter: left}
+		}
+	}
+	return refusal
+}
+
 // dropOldNotices forgets the notices of servers that have not been listed for long.
 func (p *Placer) dropOldNotices(now time.Time) {
 	maps.DeleteFunc(p.noticesByStart, func(start serverStart, recorded notice) bool {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -15,6 +15,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/boragehead/boragehead/internal/definer"
@@ -51,6 +52,11 @@
 	Resuming bool
 }
 
+// mayRunIn reports whether a region may serve the request.
+func (r Request) mayRunIn(region string) bool {
+	return !r.HomeRegionsOnly || slices.Contains(r.HomeRegions, region)
+}
+
 // Reason is why a request was refused.
 type Reason string
 
@@ -59,7 +65,8 @@
 	// ReasonNoServer means that no usable server is known, neither in this region
 	// nor in another one that may serve the request.
 	ReasonNoServer Reason = "no-server"
-	// ReasonOverloaded means that the request would miss its objective by too much.
+	// ReasonOverloaded means that the request would miss its objective by too much,
+	// or that all servers want no requests for some time.
 	ReasonOverloaded Reason = "overloaded"
 )
 
@@ -144,7 +151,7 @@
 	remote, found := p.bestRemote(now, request)
 	switch {
 	case local.server == nil && !found:
-		return Decision{RefusalReason: ReasonNoServer, RetryAfter: noServerRetryAfter}
+		return p.refuseUnserved(now, request)
 	case local.server == nil:
 		return p.remoteOrRefuse(now, request, remote)
 	case found && p.preferRemote(request, now, local, remote):
--- a/internal/placer/region.go
+++ b/internal/placer/region.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // ServiceSummary is what a region reports of one of its services to other regions.
 type ServiceSummary struct {
@@ -71,20 +74,7 @@
 
 // allowsRegion reports whether a request may be relayed to another region.
 func (r Request) allowsRegion(region string) bool {
-	for _, tried := range r.TriedRegions {
-		if tried == region {
-			return false
-		}
-	}
-	if !r.HomeRegionsOnly {
-		return true
-	}
-	for _, home := range r.HomeRegions {
-		if home == region {
-			return true
-		}
-	}
-	return false
+	return !slices.Contains(r.TriedRegions, region) && r.mayRunIn(region)
 }
 
 // Summaries returns the summaries of this region's services, by service name, as
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -221,12 +221,18 @@
 
 // usable reports whether a server may be given requests now, warm or cold.
 func (p *Placer) usable(now time.Time, s *server) bool {
+	return p.listedAsUsable(now, s) && !now.Before(s.notice.backoffUntil)
+}
+
+// listedAsUsable reports whether nothing but its own request for a pause keeps a
+// server from being given requests.
+func (p *Placer) listedAsUsable(now time.Time, s *server) bool {
 	return s.State == registrar.StateReady && !s.notice.leaving && !s.Silent && !p.closedDomains[s.FailureDomain] && !s.ejected(now)
 }
 
 // ServerConditions returns the condition of every server of this region by name:
 // ready, or the reason why it is given no or fewer requests, which is cold,
-// ejected, closed, silent, leaving or gone.
+// ejected, backing-off, closed, silent, leaving or gone.
 func (p *Placer) ServerConditions(now time.Time) map[string]string {
 	conditions := make(map[string]string, len(p.serversByName))
 	for name, s := range p.serversByName {
@@ -241,6 +247,8 @@
 			conditions[name] = "closed"
 		case s.ejected(now):
 			conditions[name] = "ejected"
+		case now.Before(s.notice.backoffUntil):
+			conditions[name] = "backing-off"
 		case s.cold(now):
 			conditions[name] = "cold"
 		default:
