keeper: withdraw a key that a lagging keeper does not know yet

An operator in an isolated region got an error for the withdrawal of a key that was in use there, and the key went on working. This is what TestWithdrawalInIsolatedRegion met at times.

Cause: the region's keeper had not yet applied the entry that created the key when it was cut off; the entry instances knew the key from other keepers. For a key that it does not know, the keeper first asked the leader, whose answer the cut hides, and gave up with that error. It is the only error of that path: of the other steps, storing needs the disk alone, and a failed proposal is part of the outcome.

Evidence: TestWithdrawalFailsAtLaggingKeeper cuts the keeper off before the key is created and failed each time ("no quorum of keepers can be reached"; the error seen before, "use of closed network connection", is the same call while a leader is still remembered).

The keeper now stores the withdrawal unless a quorum confirms that there is no such key. It takes effect where it is heard, and is committed when the keeper has caught up.

--- a/internal/keeper/revoke.go
+++ b/internal/keeper/revoke.go
@@ -190,17 +190,20 @@
 // instance that learns of it, and is propagated until a quorum accepts it, also
 // after WithdrawKey has returned. WithdrawKey waits up to 3 s for the quorum and
 // the confirmations; the outcome tells what is still missing. The error is
-// tabler.ErrUnknown when there is no such key.
+// tabler.ErrUnknown when a quorum confirms that there is no such key.
 func (k *Keeper) WithdrawKey(ctx context.Context, changeID, id string) (WithdrawOutcome, error) {
 	var outcome WithdrawOutcome
 	key, known := k.lookUpKey(id)
 	if !known {
-		if err := k.readBarrier(ctx); err != nil {
-			return outcome, err
-		}
-		if key, known = k.lookUpKey(id); !known {
+		// Without a quorum this keeper may lag behind the key's creation, and instances
+		// that know the key must learn of its withdrawal all the same.
+		err := k.readBarrier(ctx)
+		if key, known = k.lookUpKey(id); !known && err == nil {
 			return outcome, trace.Wrap(tabler.ErrUnknown, "key %q", id)
 		}
+		if !known {
+			klog.InfoS("withdrawing a key that is not known here", "key", id, "err", err)
+		}
 	}
 	if err := k.addRevocation(id); err != nil {
 		return outcome, err
--- a/internal/runner/keys_test.go
+++ b/internal/runner/keys_test.go
@@ -166,3 +166,21 @@
 	assert.Assert(t, strings.Contains(f.backends["engine-n"].Received(), "Boragehead-Workspace: members"))
 	assert.Assert(t, !strings.Contains(f.backends["engine-s"].Received(), "Boragehead-Workspace: members"))
 }
+
+// TestWithdrawalFailsAtLaggingKeeper withdraws a key in its isolated home region,
+// whose keeper was cut off before the key was created.
+func TestWithdrawalFailsAtLaggingKeeper(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.links.cutWhere(func(from, to endpoint) bool { return from.name == "k3" && strings.HasPrefix(to.name, "k") })
+	secret, id := f.createKey("roaming", "south")
+	f.eventually("key works at s1", func() error { return f.checkChat("s1", secret, http.StatusOK, "") })
+	f.links.isolate("south")
+	assert.NilError(t, f.client.Only("k3"))
+	outcome, err := f.client.WithdrawKey(context.Background(), "withdraw", id)
+	assert.NilError(t, err)
+	assert.Assert(t, !outcome.Accepted)
+	f.eventually("key refused in its home region", func() error { return f.checkChat("s1", secret, http.StatusUnauthorized, "key-withdrawn") })
+	f.links.heal()
+	f.eventually("withdrawal known in the other region", func() error { return f.checkChat("n1", secret, http.StatusUnauthorized, "key-withdrawn") })
+}
