--- a/internal/forwarder/received_test.go
+++ b/internal/forwarder/received_test.go
@@ -5,8 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -14,7 +12,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/boragehead/boragehead/internal/definer"
-	"github.com/boragehead/boragehead/internal/measurer"
 )
 
 // ending is how a test server ends a response.
@@ -83,7 +80,9 @@
 						}
 						g := newTestGateway(t, route, respondFramed(contentType, frame, end, body))
 						if relayed {
-							g = relayingGateway(t, route, g)
+							remote := g
+							g = newTestGateway(t, route)
+							relayTo(t, g, remote, retryLimit)
 						}
 						status, received, err := g.do("POST", "/a", "prompt")
 						isComplete := status == http.StatusOK && err == nil
@@ -107,12 +106,3 @@
 		}
 	}
 }
-
-// relayingGateway returns a gateway without servers that relays to another one.
-func relayingGateway(t *testing.T, route definer.Route, to *testGateway) *testGateway {
-	relays := httptest.NewServer(New(testDialect{}, to.fleet, measurer.New(), retryLimit).RelayHandler())
-	t.Cleanup(relays.Close)
-	g := newTestGateway(t, route)
-	g.fleet.relayRegion, g.fleet.relayAddress = "south", netip.MustParseAddrPort(relays.Listener.Addr().String())
-	return g
-}
--- a/internal/forwarder/relay_test.go
+++ b/internal/forwarder/relay_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -13,6 +14,58 @@
 	"github.com/boragehead/boragehead/internal/measurer"
 )
 
+// relayTo makes a gateway relay to another one, as to another region, once before it
+// uses its own servers.
+func relayTo(t *testing.T, from, to *testGateway, limit RetryLimit) {
+	relays := httptest.NewServer(New(testDialect{}, to.fleet, measurer.New(), limit).RelayHandler())
+	t.Cleanup(relays.Close)
+	from.fleet.relayRegion, from.fleet.relayAddress = "south", netip.MustParseAddrPort(relays.Listener.Addr().String())
+}
+
+// TestAttemptsAreCountedOverRelays makes the servers of both regions fail: together
+// they get no more attempts than the route allows.
+func TestAttemptsAreCountedOverRelays(t *testing.T) {
+	route := definer.Route{Kind: definer.KindIdempotent, Attempts: 2}
+	local, remote := newTestGateway(t, route, respond(200, "too many")), newTestGateway(t, route, respond(500, "a"), respond(500, "b"))
+	relayTo(t, local, remote, retryLimit)
+	status, body, err := local.do("GET", "/a", "")
+	assert.NilError(t, err)
+	assert.Equal(t, status, 500)
+	assert.Equal(t, body, "b")
+	assert.Equal(t, local.serverRequests.Load()+remote.serverRequests.Load(), int32(2))
+}
+
+func TestRelays(t *testing.T) {
+	once := definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}
+	resumable := definer.Route{Kind: definer.KindStream, Attempts: 2, Resumable: true}
+	resume := func(w http.ResponseWriter, r *http.Request) {
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		respondEvents(last+1, 6, true)(w, r)
+	}
+	tests := []struct {
+		name          string
+		route         definer.Route
+		local, remote http.HandlerFunc
+		status        int
+		body          string
+	}{
+		{"answered in the other region", once, respond(200, "local"), respond(200, "remote"), 200, "remote"},
+		{"declined there, answered here", once, respond(200, "local"), decline, 200, "local"},
+		{"lost there, not run here", once, respond(200, "local"), respondRaw(""), 502, "no-answer"},
+		{"stream broken off there, resumed here", resumable, resume, respondEvents(1, 3, false), 200, eventsText(6)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			local := newTestGateway(t, test.route, test.local)
+			relayTo(t, local, newTestGateway(t, test.route, test.remote), retryLimit)
+			status, body, err := local.do("POST", "/a?q=1", "x")
+			assert.NilError(t, err)
+			assert.Equal(t, status, test.status)
+			assert.Equal(t, body, test.body)
+		})
+	}
+}
+
 // TestUnofferedRelayCostsNoRetry runs without a retry budget. After a region
 // refused a request without offering it to a server, the next attempt must not
 // need the budget.
@@ -32,10 +85,8 @@
 			route := definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}
 			remote := newTestGateway(t, route, c.remoteServers...)
 			noRetries := RetryLimit{Window: time.Second}
-			relays := httptest.NewServer(New(testDialect{}, remote.fleet, measurer.New(), noRetries).RelayHandler())
-			t.Cleanup(relays.Close)
 			local := newTestGateway(t, route, respond(200, "whole"))
-			local.fleet.relayRegion, local.fleet.relayAddress = "south", netip.MustParseAddrPort(relays.Listener.Addr().String())
+			relayTo(t, local, remote, noRetries)
 			local.server.Config.Handler = New(testDialect{}, local.fleet, measurer.New(), noRetries)
 			status, body, err := local.do("GET", "/b", "")
 			assert.NilError(t, err)
@@ -56,10 +107,8 @@
 	}
 	route := definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}
 	remote := newTestGateway(t, route, forge)
-	relays := httptest.NewServer(New(testDialect{}, remote.fleet, measurer.New(), retryLimit).RelayHandler())
-	t.Cleanup(relays.Close)
 	local := newTestGateway(t, route, respond(200, "run twice"))
-	local.fleet.relayRegion, local.fleet.relayAddress = "south", netip.MustParseAddrPort(relays.Listener.Addr().String())
+	relayTo(t, local, remote, retryLimit)
 	status, body, err := local.do("POST", "/b", "booking")
 	assert.NilError(t, err)
 	assert.Equal(t, status, 200)
