forwarder: keep net/http from resending a request without a body

A request that may run once ran twice: a POST without a body and with an Idempotency-Key of the caller's was sent on a kept connection, the server ran it and closed the connection, and net/http sent it again on a new one by itself. The caller got 200 for the second run.

Cause: net/http takes such a request for repeatable when it finds one of two header names. They are now sent in lower case, which servers read alike and net/http does not find.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -298,6 +298,31 @@
 	}
 }
 
+// TestEmptyRequestRunsTwiceOnBrokenConnection covers a kept connection that a
+// server closes after it has run a request: net/http resends a request that has no
+// body and an idempotency key of the caller's.
+func TestEmptyRequestRunsTwiceOnBrokenConnection(t *testing.T) {
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key", "Other"} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int32
+			g := newTestGateway(t, definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}, func(w http.ResponseWriter, r *http.Request) {
+				if runs.Add(1) == 2 {
+					panic(http.ErrAbortHandler)
+				}
+				assert.Check(t, r.Header.Get(name) == "k" && r.ContentLength == 0, "%v", r.Header)
+				respond(200, "run")(w, r)
+			})
+			status, _, err := g.do("POST", "/a", "", name, "k")
+			assert.NilError(t, err)
+			assert.Equal(t, status, 200)
+			status, _, err = g.do("POST", "/a", "", name, "k")
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusBadGateway)
+			assert.Equal(t, runs.Load(), int32(2))
+		})
+	}
+}
+
 // TestCallerDisconnectCancelsServerRequest cancels a request while a server is
 // working on it.
 func TestCallerDisconnectCancelsServerRequest(t *testing.T) {
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -136,6 +137,12 @@
 	address.Scheme, address.Host = "http", host
 	header := in.Header.Clone()
 	removeHopByHopHeaders(header)
+	for _, name := range resendHeaders {
+		if values, present := header[name]; present {
+			delete(header, name)
+			header[strings.ToLower(name)] = values
+		}
+	}
 	if _, present := header["User-Agent"]; !present {
 		header["User-Agent"] = nil // otherwise net/http sends its own
 	}
@@ -146,6 +153,11 @@
 	return request, connected
 }
 
+// resendHeaders make net/http resend a request without a body by itself if a kept
+// connection breaks. It does not find them under a name in lower case, which means
+// the same to a server.
+var resendHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
+
 // singleUseBody returns a body that keeps the transport from resending the
 // request: net/http retries a GET without a body on its own, but no request whose
 // body it can't rewind. For methods that usually have a body, an empty one must
