--- a/internal/placer/notice.go
+++ b/internal/placer/notice.go
@@ -81,7 +81,7 @@
 func (p *Placer) dropOldNotices(now time.Time) {
 	maps.DeleteFunc(p.noticesByStart, func(start serverStart, recorded notice) bool {
 		s, listed := p.serversByName[start.name]
-		return now.Sub(recorded.recordedAt) > noticeRetention && !(listed && s.start() == start)
+		return now.Sub(recorded.recordedAt) > noticeRetention && (!listed || s.start() != start)
 	})
 }
 
