launcher: requests that arrive while the port closes have time to end

Cause: closing the port had stopReserve/2, 250 ms, whatever was left of the limit. It now has the rest of the limit, and 250 ms at least.

The new TestStopCutsRequestThatArrivesWhilePortCloses failed on the old timing (the caller got nothing) and passes now.

--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -115,8 +115,19 @@
 		conductor.Sleep(ctx, stopPollInterval)
 	}
 	klog.InfoS("stopped", "active", e.forwarder.ActiveRequests(), "took", time.Since(began))
-	e.callerPort.Listener.Drain(ctx)
-	closeCtx, cancelClose := context.WithTimeout(context.Background(), stopReserve/2)
-	defer cancelClose()
-	_ = e.callerPort.Close(closeCtx, 0) // connections that are still open at the limit are cut
+	closePort(ctx, e.callerPort)
+}
+
+// closePort closes a port whose clients should have left it. Some may still come
+// while it closes: their requests have until the end of the context, and
+// stopReserve/2 at least.
+func closePort(ctx context.Context, port *conductor.DrainableServer) {
+	if err := port.Close(ctx, 0); err == nil {
+		return
+	}
+	closeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopReserve/2)
+	defer cancel()
+	if err := port.Close(closeCtx, 0); err != nil {
+		klog.ErrorS(err, "requests cut at the stop limit")
+	}
 }
--- /dev/null
+++ b/internal/launcher/entry_test.go
@@ -0,0 +1,41 @@
+package launcher
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/boragehead/boragehead/internal/conductor"
+)
+
+// TestStopCutsRequestThatArrivesWhilePortCloses has a caller connect just before the
+// port closes, with a request that takes longer than stopReserve.
+func TestStopCutsRequestThatArrivesWhilePortCloses(t *testing.T) {
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(2 * stopReserve)
+		_, _ = io.WriteString(w, "complete")
+	})}
+	port, err := conductor.NewPort(server, "127.0.0.1:0")
+	assert.NilError(t, err)
+	conn, err := net.Dial("tcp", port.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(port.Listener) }()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*stopReserve)
+	defer cancel()
+	closePort(ctx, port)
+	_ = server.Close() // as the process does when it ends
+	assert.ErrorIs(t, <-served, http.ErrServerClosed)
+	text, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(string(text), "complete"), "%q", text)
+}
