--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -111,7 +111,8 @@
 }
 
 // copyHeaders copies a server's headers to the response, except hop-by-hop ones and
-// those that only instances send. It keeps net/http from adding a Date or Content-Type of its own.
+// those that only instances send. It keeps net/http from adding a Date or
+// Content-Type of its own.
 func (r *callerResponse) copyHeaders(from http.Header) {
 	header := r.writer.Header()
 	if r.call.Relayed {
@@ -174,7 +175,7 @@
 	}
 }
 
-// interruptStream returns the result for a stream that broke off.
+// interruptStream returns the result for a stream that broke off for a cause.
 func (r *callerResponse) interruptStream(cause error) (attemptResult, placer.Outcome) {
 	if errors.Is(cause, errEndedWithinEvent) {
 		r.forwarder.metrics.Count("streams-ended-within-event")
--- a/internal/forwarder/received.go
+++ b/internal/forwarder/received.go
@@ -74,7 +74,7 @@
 	return true
 }
 
-// countingReader counts the bytes that are read from a body.
+// countingReader adds the bytes that are read from a body to a count.
 type countingReader struct {
 	io.ReadCloser
 	count *int64
