forwarder: log what names a request that comes again

The logs could not tell a request that crashes servers whenever it comes from a part of a prompt that does, or from servers that end by themselves: a request's line did not say what of it was the same as of another one, and a crash under a request without parts left no line at all.

What is answered does not change.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -37,6 +37,7 @@
 func (f *Forwarder) forward(ctx context.Context, w http.ResponseWriter, call *Call) *Refusal {
 	out := &callerResponse{writer: w, call: call, forwarder: f, lastEventID: call.LastEventID, memory: reserver.Reservation{Budget: &f.responseMemory}}
 	defer out.memory.Shrink(0)
+	call.fingerprint = fingerprint(call)
 	if refusal := f.quarantineRefusal(out, 0); refusal != nil {
 		return refusal
 	}
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -115,7 +115,7 @@
 	d.metrics.Count("server-crashes")
 	for _, broken := range crash.pending {
 		klog.InfoS("server crashed under a request that had not begun long before", "server", broken.server.Name,
-			"born", broken.server.StartedAtMillis, "shared-parts", partNames(broken.parts), "requests", len(crash.pending),
+			"born", broken.server.StartedAtMillis, "request-hash", hashName(broken.request), "shared-parts", partNames(broken.parts), "requests", len(crash.pending),
 			"after", crash.brokeAt.Sub(broken.sentAt))
 		d.quarantine.RecordCrash(crash.brokeAt, broken.server, broken.parts)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -61,6 +61,9 @@
 
 	// maxBody is the definition's limit of the body in bytes; 0 for the default.
 	maxBody int64
+	// fingerprint identifies the request together with its repetitions; 0 until the body
+	// has been read.
+	fingerprint uint64
 	// probe means that the call may run once although a part of its prompt is
 	// quarantined.
 	probe  bool
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -103,8 +103,10 @@
 // or ends.
 type answerBegin struct {
 	server registrar.Server
-	parts  []uint64
-	sentAt time.Time
+	// request is the fingerprint of the request.
+	request uint64
+	parts   []uint64
+	sentAt  time.Time
 
 	mu      sync.Mutex
 	beganAt time.Time
@@ -116,7 +118,7 @@
 	if f.crashes.quarantine == nil {
 		return nil
 	}
-	b := &answerBegin{server: server, parts: sharedParts(out.call.Work), sentAt: time.Now()}
+	b := &answerBegin{server: server, request: out.call.fingerprint, parts: sharedParts(out.call.Work), sentAt: time.Now()}
 	if len(b.parts) > 0 {
 		out.onBegin = func() { b.begin(f.crashes.quarantine) }
 	}
@@ -157,7 +159,7 @@
 	b.mu.Lock()
 	mayBeCut := record.received.framing == framingClose && now.Sub(b.beganAt) < soundAfter
 	b.failed = result != resultAnswered || mayBeCut
-	isSuspect := len(b.parts) > 0 && (b.beganAt.IsZero() || now.Sub(b.beganAt) < soundAfter)
+	isSuspect := b.beganAt.IsZero() || now.Sub(b.beganAt) < soundAfter
 	b.mu.Unlock()
 	crashes.remove(b)
 	if record.connectionEnd.isAbrupt() {
