--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -36,12 +37,13 @@
 	return call, err
 }
 
-// crashingFleet has servers that crash when they begin to answer a request with a
-// certain prompt part, and that are back under another name after a while.
+// crashingFleet has servers that crash when they begin to answer certain requests,
+// and that are back under another name after a while.
 type crashingFleet struct {
 	*testFleet
-	t       *testing.T
-	culprit string
+	t *testing.T
+	// isCulprit reports whether a request crashes each server that begins to answer it.
+	isCulprit func(*http.Request) bool
 	// restart is how long a crashed server is away.
 	restart time.Duration
 
@@ -51,14 +53,29 @@
 	starts  int
 	placed  int
 	crashes []time.Time
-	// reached holds when requests with the culprit reached a server.
-	reached []time.Time
+	// reached holds when such requests reached a server.
+	reached []arrivalAt
+}
+
+// arrivalAt is when a request reached a server, and its path.
+type arrivalAt struct {
+	path string
+	at   time.Time
+}
+
+// reachedByPath returns when the requests reached servers, in order, by their path.
+// f.mu must be held.
+func (f *crashingFleet) reachedByPath() map[string][]time.Time {
+	times := map[string][]time.Time{}
+	for _, arrival := range f.reached {
+		times[arrival.path] = append(times[arrival.path], arrival.at)
+	}
+	return times
 }
 
 // newCrashingFleet starts some servers.
-func newCrashingFleet(t *testing.T, servers int, culprit string) *crashingFleet {
-	route := definer.Route{Kind: definer.KindIdempotent, Attempts: 3}
-	f := &crashingFleet{testFleet: &testFleet{view: newView(route)}, t: t, culprit: culprit, restart: 400 * time.Millisecond}
+func newCrashingFleet(t *testing.T, servers int, route definer.Route, isCulprit func(*http.Request) bool) *crashingFleet {
+	f := &crashingFleet{testFleet: &testFleet{view: newView(route)}, t: t, isCulprit: isCulprit, restart: 400 * time.Millisecond}
 	for range servers {
 		f.startServer()
 	}
@@ -105,10 +122,10 @@
 const answerTime = 30 * time.Millisecond
 
 func (s *crashingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	isCulprit := strings.Contains(" "+r.Header.Get("Parts")+" ", " "+s.fleet.culprit+" ")
+	isCulprit := s.fleet.isCulprit(r)
 	if isCulprit {
 		s.fleet.mu.Lock()
-		s.fleet.reached = append(s.fleet.reached, time.Now())
+		s.fleet.reached = append(s.fleet.reached, arrivalAt{path: r.URL.Path, at: time.Now()})
 		s.fleet.mu.Unlock()
 	}
 	time.Sleep(answerTime)
@@ -163,7 +180,9 @@
 // part comes with others: a popular first one, which sound requests have too.
 func TestPromptPartCrashesServerAfterServer(t *testing.T) {
 	t.Parallel()
-	f := newCrashingFleet(t, 8, "bad")
+	f := newCrashingFleet(t, 8, definer.Route{Kind: definer.KindIdempotent, Attempts: 3}, func(r *http.Request) bool {
+		return slices.Contains(strings.Fields(r.Header.Get("Parts")), "bad")
+	})
 	gateway := httptest.NewServer(newCrashTestForwarder(f))
 	t.Cleanup(gateway.Close)
 	var waiting sync.WaitGroup
@@ -193,8 +212,8 @@
 	defer f.mu.Unlock()
 	assert.Assert(t, len(f.crashes) >= 5, "only %d crashes", len(f.crashes))
 	late := 0
-	for _, at := range f.reached {
-		if at.After(f.crashes[4].Add(contactTime)) {
+	for _, arrival := range f.reached {
+		if arrival.at.After(f.crashes[4].Add(contactTime)) {
 			late++
 		}
 	}
