--- a/internal/controller/quarantine_test.go
+++ b/internal/controller/quarantine_test.go
@@ -17,9 +17,9 @@
 	var table quarantiner.Table
 	now := time.Now()
 	for i := range 3 {
-		table.RecordCrash(now.Add(-time.Duration(10+i)*time.Second), quarantiner.CrashID(part*100+uint64(i)), "s", []uint64{part})
+		table.RecordCrash(now.Add(-time.Duration(10+i)*time.Second), quarantiner.CrashID(part*100+uint64(i)), "s", quarantiner.Traits{Parts: []uint64{part}})
 	}
-	table.RecordSoundBegin(now, "s", []uint64{99})
+	table.RecordSoundBegin(now, "s", quarantiner.Traits{Parts: []uint64{99}})
 	return table.Since(now, 0)
 }
 
@@ -31,7 +31,7 @@
 	var table quarantiner.Table
 	now := time.Now()
 	table.Merge(now, answer.Quarantine)
-	return table.Level(now, []uint64{part})
+	return table.Level(now, quarantiner.Traits{Parts: []uint64{part}})
 }
 
 // TestEvidenceReachesWatchesOfAllControlInstances reports evidence to one control
--- a/internal/follower/quarantine.go
+++ b/internal/follower/quarantine.go
@@ -32,7 +32,7 @@
 	evidenceExpiryInterval = 5 * time.Second
 )
 
-// quarantine is this instance's table of prompt parts that crash servers, and what
+// quarantine is this instance's table of requests and prompt parts that crash servers, and what
 // of it the control instances have been told. Its lock may be taken while f.mu is
 // held, but not the other way round.
 type quarantine struct {
@@ -41,29 +41,30 @@
 	// reported is the revision up to which what was recorded here has been reported.
 	reported uint64
 	// reportAll means that a control instance may have lost what it knew.
-	reportAll    bool
-	loggedLevels map[uint64]quarantiner.Level
-	lastExpiry   time.Time
-	limiter      logger.RateLimiter
+	reportAll bool
+	// loggedFindings are what was last logged, by part.
+	loggedFindings map[uint64]quarantiner.Finding
+	lastExpiry     time.Time
+	limiter        logger.RateLimiter
 }
 
-// Admit decides on a new request with some shared prompt parts.
-func (f *Follower) Admit(parts []uint64) quarantiner.Admission {
+// Admit decides on a new request with some traits.
+func (f *Follower) Admit(traits quarantiner.Traits) quarantiner.Admission {
 	now := time.Now()
-	if f.Level(parts) != quarantiner.LevelQuarantined {
-		return f.admit(now, parts, nil)
+	if f.Level(traits) != quarantiner.LevelQuarantined {
+		return f.admit(now, traits, nil)
 	}
-	return f.admit(now, parts, f.listInstances())
+	return f.admit(now, traits, f.listInstances())
 }
 
-func (f *Follower) admit(now time.Time, parts []uint64, instances []string) quarantiner.Admission {
+func (f *Follower) admit(now time.Time, traits quarantiner.Traits, instances []string) quarantiner.Admission {
 	f.quarantine.mu.Lock()
 	defer f.quarantine.mu.Unlock()
-	admission := f.quarantine.table.Admit(now, parts, func(part uint64) bool {
+	admission := f.quarantine.table.Admit(now, traits, func(part uint64) bool {
 		return instances != nil && proberOf(part, instances) == f.self.Name
 	})
 	if admission.Probe {
-		klog.InfoS("quarantined prompt part probed by one request", "shared-parts", len(parts))
+		klog.InfoS("quarantined request or prompt part probed by one request", "request-hash", strconv.FormatUint(traits.Request, 16), "shared-parts", len(traits.Parts))
 	}
 	return admission
 }
@@ -92,23 +93,23 @@
 	return prober
 }
 
-// Level returns the highest level of some prompt parts.
-func (f *Follower) Level(parts []uint64) quarantiner.Level {
+// Level returns the highest level of some traits.
+func (f *Follower) Level(traits quarantiner.Traits) quarantiner.Level {
 	f.quarantine.mu.Lock()
 	defer f.quarantine.mu.Unlock()
-	return f.quarantine.table.Level(time.Now(), parts)
+	return f.quarantine.table.Level(time.Now(), traits)
 }
 
-// RecordCrash records that a server has ended while a request with some prompt
-// parts was there, which had not begun long before. Servers that were known to
-// leave have not crashed.
-func (f *Follower) RecordCrash(at time.Time, server registrar.Server, parts []uint64) {
+// RecordCrash records that a server has ended while a request with some traits was
+// there, which had not begun long before. Servers that were known to leave have not
+// crashed.
+func (f *Follower) RecordCrash(at time.Time, server registrar.Server, traits quarantiner.Traits) {
 	if f.isLeaving(server) {
 		return
 	}
 	f.quarantine.mu.Lock()
 	defer f.quarantine.mu.Unlock()
-	f.quarantine.table.RecordCrash(at, quarantiner.NewCrashID(server.Name, server.StartedAtMillis), server.Service, parts)
+	f.quarantine.table.RecordCrash(at, quarantiner.NewCrashID(server.Name, server.StartedAtMillis), server.Service, traits)
 }
 
 // isLeaving reports whether a server has announced that it leaves or has left.
@@ -122,12 +123,12 @@
 	return false
 }
 
-// RecordSoundBegin records that an answer on some prompt parts has begun and that
-// the server went on.
-func (f *Follower) RecordSoundBegin(began time.Time, server registrar.Server, parts []uint64) {
+// RecordSoundBegin records that an answer on some traits has begun and that the server
+// went on.
+func (f *Follower) RecordSoundBegin(began time.Time, server registrar.Server, traits quarantiner.Traits) {
 	f.quarantine.mu.Lock()
 	defer f.quarantine.mu.Unlock()
-	f.quarantine.table.RecordSoundBegin(began, server.Service, parts)
+	f.quarantine.table.RecordSoundBegin(began, server.Service, traits)
 }
 
 // applyQuarantine takes over what a control instance knows of prompt parts. f.mu
@@ -183,24 +184,28 @@
 // logLevels logs the parts whose level has changed, with the figures. q.mu must be
 // held.
 func (q *quarantine) logLevels(now time.Time) {
-	levels := map[uint64]quarantiner.Level{}
+	findings := map[uint64]quarantiner.Finding{}
 	for _, finding := range q.table.Findings(now) {
-		levels[finding.Part] = finding.Level
-		if before := q.loggedLevels[finding.Part]; before != finding.Level {
+		findings[finding.Part] = finding
+		if before := q.loggedFindings[finding.Part].Level; before != finding.Level {
 			q.logLevel(now, finding, before)
 		}
 	}
-	for part, before := range q.loggedLevels {
-		if _, known := levels[part]; !known {
-			q.logLevel(now, quarantiner.Finding{Part: part}, before)
+	for part, before := range q.loggedFindings {
+		if _, known := findings[part]; !known {
+			q.logLevel(now, quarantiner.Finding{Part: part, IsRequest: before.IsRequest}, before.Level)
 		}
 	}
-	q.loggedLevels = levels
+	q.loggedFindings = findings
 }
 
 func (q *quarantine) logLevel(now time.Time, finding quarantiner.Finding, before quarantiner.Level) {
 	if leftOut, ok := q.limiter.Allow(now); ok || finding.Level == quarantiner.LevelQuarantined {
-		klog.InfoS("prompt part", "part", strconv.FormatUint(finding.Part, 16), "level", finding.Level, "before", before,
+		kind := "prompt part"
+		if finding.IsRequest {
+			kind = "repeated request"
+		}
+		klog.InfoS(kind, "part", strconv.FormatUint(finding.Part, 16), "level", finding.Level, "before", before,
 			"crashes", finding.Crashes, "uncleared", finding.Uncleared, "probes", finding.Probes, "left-out", leftOut)
 	}
 }
--- a/internal/follower/quarantine_test.go
+++ b/internal/follower/quarantine_test.go
@@ -19,9 +19,9 @@
 	var table quarantiner.Table
 	now := time.Now()
 	for i := range crashes {
-		table.RecordCrash(now.Add(-time.Duration(10+i)*time.Second), quarantiner.CrashID(i), "s", []uint64{part})
+		table.RecordCrash(now.Add(-time.Duration(10+i)*time.Second), quarantiner.CrashID(i), "s", quarantiner.Traits{Parts: []uint64{part}})
 	}
-	table.RecordSoundBegin(now, "s", []uint64{99})
+	table.RecordSoundBegin(now, "s", quarantiner.Traits{Parts: []uint64{99}})
 	return table.Since(now, 0)
 }
 
@@ -32,7 +32,7 @@
 	f, north, _ := newFollower(t)
 	now := time.Now()
 	f.receiveReports(now, north, server(registrar.StateReady, 1))
-	f.RecordCrash(now, server(registrar.StateReady, 1), []uint64{1})
+	f.RecordCrash(now, server(registrar.StateReady, 1), quarantiner.Traits{Parts: []uint64{1}})
 	due, _ := f.quarantine.dueEvidence(now)
 	assert.Equal(t, len(due), 1)
 	due, revision := f.quarantine.dueEvidence(now)
@@ -44,7 +44,7 @@
 	f.applyQuarantine(now, north, controller.WatchAnswer{Quarantine: evidence(2, 3), QuarantineRevision: 9}, false)
 	assert.Equal(t, north.quarantineRevision, uint64(10))
 	time.Sleep(verdictLifetime)
-	assert.Equal(t, f.Level([]uint64{2}), quarantiner.LevelQuarantined)
+	assert.Equal(t, f.Level(quarantiner.Traits{Parts: []uint64{2}}), quarantiner.LevelQuarantined)
 	due, _ = f.quarantine.dueEvidence(now)
 	assert.Equal(t, len(due), 0, "evidence from a control instance is reported back")
 
@@ -61,7 +61,7 @@
 	f, north, _ := newFollower(t)
 	now := time.Now()
 	f.receiveReports(now, north, server(registrar.StateLeaving, 2))
-	f.RecordCrash(now, server(registrar.StateLeaving, 2), []uint64{1})
+	f.RecordCrash(now, server(registrar.StateLeaving, 2), quarantiner.Traits{Parts: []uint64{1}})
 	due, _ := f.quarantine.dueEvidence(now)
 	assert.Equal(t, len(due), 0)
 }
@@ -71,9 +71,9 @@
 func TestSoundBeginClearsEvidenceOfOthers(t *testing.T) {
 	f, north, _ := newFollower(t)
 	now := time.Now()
-	f.RecordSoundBegin(now.Add(-time.Second), server(registrar.StateReady, 1), []uint64{2})
+	f.RecordSoundBegin(now.Add(-time.Second), server(registrar.StateReady, 1), quarantiner.Traits{Parts: []uint64{2}})
 	f.applyQuarantine(now, north, controller.WatchAnswer{Quarantine: evidence(2, 3)}, false)
-	assert.Equal(t, f.Level([]uint64{2}), quarantiner.LevelClear)
+	assert.Equal(t, f.Level(quarantiner.Traits{Parts: []uint64{2}}), quarantiner.LevelClear)
 	due, _ := f.quarantine.dueEvidence(now)
 	assert.Equal(t, len(due), 1, "the others do not hear that the part is sound")
 }
@@ -90,6 +90,6 @@
 	assert.Equal(t, len(counts), 3, "%v", counts)
 	f, north, _ := newFollower(t)
 	f.applyQuarantine(time.Now(), north, controller.WatchAnswer{Quarantine: evidence(2, 3)}, false)
-	admission := f.Admit([]uint64{2})
+	admission := f.Admit(quarantiner.Traits{Parts: []uint64{2}})
 	assert.Assert(t, admission.Level == quarantiner.LevelQuarantined && !admission.Probe && admission.RetryAfter > time.Minute, "%+v", admission)
 }
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// brokeOff reports whether a start of a server has lately broken off connections, and is
+// not known to go on.
+func (d *crashDetector) brokeOff(id quarantiner.CrashID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, known := d.byStart[id]
+	return known
+}
+
 // report takes a request that a server broke off. The request may have crashed the
 // server if it is a suspect.
 func (d *crashDetector) report(now time.Time, broken *answerBegin, isSuspect bool) {
@@ -96,7 +105,7 @@
 	switch {
 	case !isSuspect || broken.sentAt.After(crash.brokeAt): // it found the server ended
 	case crash.confirmed:
-		d.quarantine.RecordCrash(crash.brokeAt, broken.server, broken.parts)
+		d.quarantine.RecordCrash(crash.brokeAt, broken.server, broken.traits)
 	case len(crash.pending) < maxPendingBreaks:
 		crash.pending = append(crash.pending, broken)
 	}
@@ -115,9 +124,9 @@
 	d.metrics.Count("server-crashes")
 	for _, broken := range crash.pending {
 		klog.InfoS("server crashed under a request that had not begun long before", "server", broken.server.Name,
-			"born", broken.server.StartedAtMillis, "request-hash", hashName(broken.request), "shared-parts", partNames(broken.parts), "requests", len(crash.pending),
+			"born", broken.server.StartedAtMillis, "request-hash", hashName(broken.traits.Request), "shared-parts", partNames(broken.traits.Parts), "requests", len(crash.pending),
 			"after", crash.brokeAt.Sub(broken.sentAt))
-		d.quarantine.RecordCrash(crash.brokeAt, broken.server, broken.parts)
+		d.quarantine.RecordCrash(crash.brokeAt, broken.server, broken.traits)
 	}
 	crash.confirmed, crash.pending = true, nil
 }
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -234,28 +234,28 @@
 	table quarantiner.Table
 }
 
-func (q *testQuarantine) Admit(parts []uint64) quarantiner.Admission {
+func (q *testQuarantine) Admit(traits quarantiner.Traits) quarantiner.Admission {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.table.Admit(time.Now(), parts, func(uint64) bool { return true })
+	return q.table.Admit(time.Now(), traits, func(uint64) bool { return true })
 }
 
-func (q *testQuarantine) Level(parts []uint64) quarantiner.Level {
+func (q *testQuarantine) Level(traits quarantiner.Traits) quarantiner.Level {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.table.Level(time.Now(), parts)
+	return q.table.Level(time.Now(), traits)
 }
 
-func (q *testQuarantine) RecordCrash(at time.Time, server registrar.Server, parts []uint64) {
+func (q *testQuarantine) RecordCrash(at time.Time, server registrar.Server, traits quarantiner.Traits) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.table.RecordCrash(at, quarantiner.NewCrashID(server.Name, server.StartedAtMillis), server.Service, parts)
+	q.table.RecordCrash(at, quarantiner.NewCrashID(server.Name, server.StartedAtMillis), server.Service, traits)
 }
 
-func (q *testQuarantine) RecordSoundBegin(began time.Time, server registrar.Server, parts []uint64) {
+func (q *testQuarantine) RecordSoundBegin(began time.Time, server registrar.Server, traits quarantiner.Traits) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.table.RecordSoundBegin(began, server.Service, parts)
+	q.table.RecordSoundBegin(began, server.Service, traits)
 }
 
 // askOnce sends one request and returns the status of the response, or 0.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -64,7 +64,7 @@
 	// fingerprint identifies the request together with its repetitions; 0 until the body
 	// has been read.
 	fingerprint uint64
-	// probe means that the call may run once although a part of its prompt is
+	// probe means that the call may run once although it, or a part of its prompt, is
 	// quarantined.
 	probe  bool
 	record callRecord
@@ -88,7 +88,7 @@
 	// timeToFirstByte is measured from the call's arrival; 0 until then.
 	timeToFirstByte time.Duration
 	received        receivedBody
-	// level is the highest that the prompt's parts had in the quarantine.
+	// level is the highest that the request and its parts had in the quarantine.
 	level quarantiner.Level
 	// connectionEnd is how the server's connection ended in the last attempt.
 	connectionEnd connectionEnd
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -9,19 +9,24 @@
 	"github.com/boragehead/boragehead/internal/registrar"
 )
 
-// Quarantine knows the parts of prompts that crash servers. Its methods must be
-// safe for concurrent use.
+// Quarantine knows the requests and the parts of prompts that crash servers. Its methods
+// must be safe for concurrent use.
 type Quarantine interface {
-	// Admit decides on a new request with some shared parts.
-	Admit(parts []uint64) quarantiner.Admission
-	// Level returns the highest level of some parts.
-	Level(parts []uint64) quarantiner.Level
-	// RecordCrash records that a server has ended while a request with some parts
+	// Admit decides on a new request with some traits.
+	Admit(traits quarantiner.Traits) quarantiner.Admission
+	// Level returns the highest level of some traits.
+	Level(traits quarantiner.Traits) quarantiner.Level
+	// RecordCrash records that a server has ended while a request with some traits
 	// was there, which had not begun long before.
-	RecordCrash(at time.Time, server registrar.Server, parts []uint64)
-	// RecordSoundBegin records that an answer on some parts has begun and that the
+	RecordCrash(at time.Time, server registrar.Server, traits quarantiner.Traits)
+	// RecordSoundBegin records that an answer on some traits has begun and that the
 	// server still worked soundAfter later.
-	RecordSoundBegin(began time.Time, server registrar.Server, parts []uint64)
+	RecordSoundBegin(began time.Time, server registrar.Server, traits quarantiner.Traits)
+}
+
+// traits returns what a call may be quarantined for. Its body must have been read.
+func (call *Call) traits() quarantiner.Traits {
+	return quarantiner.Traits{Request: call.fingerprint, Parts: sharedParts(call.Work)}
 }
 
 // UseQuarantine makes the forwarder check requests against a quarantine and report
@@ -34,29 +39,29 @@
 // to show that the answer did not crash it.
 const soundAfter = time.Second
 
-// reasonQuarantined is the reason of refusals because of a quarantined part.
+// reasonQuarantined is the reason of refusals because of a quarantined request or part.
 const reasonQuarantined = "quarantined"
 
-// reasonHeldBack is the reason of refusals because of a suspected part, while servers
+// reasonHeldBack is the reason of refusals because of a suspected one, while servers
 // crash under it so often that no other answer begins.
 const reasonHeldBack = "held-back"
 
-// quarantineRefusal checks a call before an attempt. It returns a refusal if a part
-// of its prompt is quarantined and no server can have run it.
+// quarantineRefusal checks a call before an attempt. It returns a refusal if the request,
+// or a part of its prompt, is quarantined and no server can have run it.
 func (f *Forwarder) quarantineRefusal(out *callerResponse, try int) *Refusal {
 	call, quarantine := out.call, f.crashes.quarantine
-	parts := sharedParts(call.Work)
-	if quarantine == nil || len(parts) == 0 || call.probe || out.possibleRuns > 0 || out.streamStarted {
+	traits := call.traits()
+	if quarantine == nil || call.probe || out.possibleRuns > 0 || out.streamStarted {
 		return nil
 	}
 	if out.remoteQuarantine > 0 {
 		call.record.level = quarantiner.LevelQuarantined
 		return newQuarantineRefusal(out.remoteQuarantine)
 	}
-	if try > 0 && quarantine.Level(parts) != quarantiner.LevelQuarantined {
+	if try > 0 && quarantine.Level(traits) != quarantiner.LevelQuarantined {
 		return nil
 	}
-	admission := quarantine.Admit(parts)
+	admission := quarantine.Admit(traits)
 	call.record.level = admission.Level
 	switch {
 	case admission.Probe:
@@ -74,22 +79,21 @@
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reasonQuarantined, RetryAfter: retryAfter}
 }
 
-// runsOnce reports whether at most one server may run a call because one of its
-// parts may crash servers.
+// runsOnce reports whether at most one server may run a call because it, or one of its
+// parts, may crash servers.
 func (f *Forwarder) runsOnce(call *Call) bool {
 	if call.probe {
 		return true
 	}
-	parts := sharedParts(call.Work)
-	if f.crashes.quarantine == nil || len(parts) == 0 {
+	if f.crashes.quarantine == nil {
 		return false
 	}
-	level := f.crashes.quarantine.Level(parts)
+	level := f.crashes.quarantine.Level(call.traits())
 	call.record.level = max(call.record.level, level)
 	return level != quarantiner.LevelClear
 }
 
-// mayRunAgain reports whether another server may run a call as far as its parts are
+// mayRunAgain reports whether another server may run a call as far as the quarantine is
 // concerned.
 func (f *Forwarder) mayRunAgain(out *callerResponse) bool {
 	if out.possibleRuns == 0 && !out.streamStarted || !f.runsOnce(out.call) {
@@ -103,10 +107,8 @@
 // or ends.
 type answerBegin struct {
 	server registrar.Server
-	// request is the fingerprint of the request.
-	request uint64
-	parts   []uint64
-	sentAt  time.Time
+	traits quarantiner.Traits
+	sentAt time.Time
 
 	mu      sync.Mutex
 	beganAt time.Time
@@ -118,10 +120,8 @@
 	if f.crashes.quarantine == nil {
 		return nil
 	}
-	b := &answerBegin{server: server, request: out.call.fingerprint, parts: sharedParts(out.call.Work), sentAt: time.Now()}
-	if len(b.parts) > 0 {
-		out.onBegin = func() { b.begin(f.crashes.quarantine) }
-	}
+	b := &answerBegin{server: server, traits: out.call.traits(), sentAt: time.Now()}
+	out.onBegin = func() { b.begin(&f.crashes) }
 	f.crashes.add(b)
 	return b
 }
@@ -131,8 +131,8 @@
 }
 
 // begin records that the answer has begun. It counts as sound a while later, if
-// nothing has failed until then.
-func (b *answerBegin) begin(quarantine Quarantine) {
+// nothing has failed until then and the server is not known to have broken off others.
+func (b *answerBegin) begin(crashes *crashDetector) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	began := time.Now()
@@ -141,8 +141,8 @@
 		b.mu.Lock()
 		failed := b.failed
 		b.mu.Unlock()
-		if !failed {
-			quarantine.RecordSoundBegin(began, b.server, b.parts)
+		if !failed && !crashes.brokeOff(b.crashID()) {
+			crashes.quarantine.RecordSoundBegin(began, b.server, b.traits)
 		}
 	})
 }
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -28,16 +28,16 @@
 	begins  int
 }
 
-func (q *fixedQuarantine) Admit([]uint64) quarantiner.Admission { return q.admission }
-func (q *fixedQuarantine) Level([]uint64) quarantiner.Level     { return q.admission.Level }
+func (q *fixedQuarantine) Admit(quarantiner.Traits) quarantiner.Admission { return q.admission }
+func (q *fixedQuarantine) Level(quarantiner.Traits) quarantiner.Level     { return q.admission.Level }
 
-func (q *fixedQuarantine) RecordCrash(time.Time, registrar.Server, []uint64) {
+func (q *fixedQuarantine) RecordCrash(time.Time, registrar.Server, quarantiner.Traits) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.crashes++
 }
 
-func (q *fixedQuarantine) RecordSoundBegin(time.Time, registrar.Server, []uint64) {
+func (q *fixedQuarantine) RecordSoundBegin(time.Time, registrar.Server, quarantiner.Traits) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.begins++
@@ -86,7 +86,9 @@
 		{"suspected stream", suspected, resumable, "1 2", []http.HandlerFunc{respondEvents(1, 3, false), respondEvents(4, 6, true)}, 200, 1, 1},
 		{"probe", probe, repeatable, "1 2", []http.HandlerFunc{lost, respond(200, "whole")}, 502, 1, 1},
 		{"quarantined", quarantined, repeatable, "1 2", []http.HandlerFunc{respond(200, "whole")}, 503, 0, 0},
-		{"no shared part", quarantined, repeatable, "1", []http.HandlerFunc{respond(200, "whole")}, 200, 1, 1},
+		{"quarantined, no shared part", quarantined, repeatable, "1", []http.HandlerFunc{respond(200, "whole")}, 503, 0, 0},
+		{"quarantined, no part", quarantined, repeatable, "", []http.HandlerFunc{respond(200, "whole")}, 503, 0, 0},
+		{"suspected, no part", suspected, repeatable, "", []http.HandlerFunc{lost, respond(200, "whole")}, 502, 1, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/quarantiner/exchange.go
+++ b/internal/quarantiner/exchange.go
@@ -24,7 +24,7 @@
 }
 
 func (p *part) export(now time.Time, id uint64) Part {
-	exported := Part{ID: id, Probes: p.probes, AskedAge: -1}
+	exported := Part{ID: id, IsRequest: p.isRequest, WasSound: p.wasSound, Probes: p.probes, AskedAge: -1}
 	if p.probes > 0 {
 		exported.ProbeAge = max(now.Sub(p.probedAt), 0)
 	}
@@ -32,9 +32,11 @@
 		exported.AskedAge = max(now.Sub(p.askedAt), 0)
 	}
 	for crashID, c := range p.crashes {
-		exported.Crashes = append(exported.Crashes, Crash{
-			ID: crashID, Age: max(now.Sub(c.at), 0), Cleared: c.cleared, Contrasted: c.contrasted, Service: c.service,
-		})
+		sent := Crash{ID: crashID, Age: max(now.Sub(c.at), 0), Cleared: c.cleared, Contrasted: c.contrasted, Service: c.service}
+		if c.contrasted {
+			sent.ContrastAge = max(now.Sub(c.contrastedAt), 1)
+		}
+		exported.Crashes = append(exported.Crashes, sent)
 	}
 	return exported
 }
@@ -52,16 +54,26 @@
 
 func (t *Table) mergePart(now time.Time, received Part) {
 	p := t.part(received.ID)
-	changed, refinedHere := false, false
+	p.isRequest = p.isRequest || received.IsRequest
+	changed, refinedHere := received.WasSound && !p.wasSound, false
+	p.wasSound = p.wasSound || received.WasSound
 	for _, c := range received.Crashes {
 		at := now.Add(-max(c.Age, 0))
 		if c.Cleared && now.Sub(at) > HoldTime {
 			continue
 		}
-		changed = t.addCrash(received.ID, p, c.ID, crash{at: at, cleared: c.Cleared, contrasted: c.Contrasted, service: c.Service}) || changed
+		added := crash{at: at, cleared: c.Cleared, contrasted: c.Contrasted, service: c.Service}
+		if c.Contrasted {
+			added.contrastedAt = at
+			if c.ContrastAge > 0 {
+				added.contrastedAt = now.Add(-c.ContrastAge)
+			}
+		}
+		changed = t.addCrash(received.ID, p, c.ID, added) || changed
 		known := p.crashes[c.ID]
 		refinedHere = refinedHere || known.cleared && !c.Cleared || known.contrasted && !c.Contrasted
 	}
+	refinedHere = refinedHere || p.wasSound && !received.WasSound
 	probedAt := now.Add(-max(received.ProbeAge, 0))
 	switch {
 	case received.Probes > p.probes:
--- a/internal/quarantiner/holdback.go
+++ b/internal/quarantiner/holdback.go
@@ -12,8 +12,12 @@
 	// holdBackTime is how long after its last crash a part is held back. It is longer
 	// than settleTime, so that crashes can count as soon as others have begun.
 	holdBackTime = settleTime + 500*time.Millisecond
-	// maxHoldBackShare is the largest share of the requests that are held back: there
-	// must be others that can begin.
+	// maxHoldBackDoublings bounds how often holdBackTime doubles, which it does with each
+	// further crash under a request that was never answered soundly: if nothing else
+	// begins for long, hardly any of its repetitions reach a server.
+	maxHoldBackDoublings = 5
+	// maxHoldBackShare is the largest share of the requests that are held back, unless
+	// they are repetitions of one that was never answered soundly.
 	maxHoldBackShare = 0.75
 	// maxRecentRequests is how many requests the shares are taken of, and
 	// minRecentRequests the fewest that say anything.
@@ -21,50 +25,72 @@
 	minRecentRequests = 8
 )
 
-// recentRequests holds the parts of the last requests. The zero value is empty.
+// recentRequests holds the traits of the last requests. The zero value is empty.
 type recentRequests struct {
-	parts [][]uint64
-	next  int
+	traits []Traits
+	next   int
 }
 
-func (r *recentRequests) add(parts []uint64) {
-	if len(r.parts) < maxRecentRequests {
-		r.parts = append(r.parts, parts)
+func (r *recentRequests) add(traits Traits) {
+	if len(r.traits) < maxRecentRequests {
+		r.traits = append(r.traits, traits)
 		return
 	}
-	r.parts[r.next] = parts
+	r.traits[r.next] = traits
 	r.next = (r.next + 1) % maxRecentRequests
 }
 
 // share returns the share of the requests that have a part; 1 if there were too few.
 func (r *recentRequests) share(part uint64) float64 {
-	if len(r.parts) < minRecentRequests {
+	if len(r.traits) < minRecentRequests {
 		return 1
 	}
 	count := 0
-	for _, parts := range r.parts {
-		if slices.Contains(parts, part) {
+	for _, traits := range r.traits {
+		if traits.has(part) {
 			count++
 		}
 	}
-	return float64(count) / float64(len(r.parts))
+	return float64(count) / float64(len(r.traits))
 }
 
-// holdBack returns for how long a request must be held back because of its parts; 0 if
+// holdBack returns for how long a request must be held back because of its traits; 0 if
 // it may run.
-func (t *Table) holdBack(now time.Time, parts []uint64, levels map[uint64]Level) (hold time.Duration) {
-	for _, id := range parts {
+func (t *Table) holdBack(now time.Time, traits Traits, levels map[uint64]Level) (hold time.Duration) {
+	traits.each(func(id uint64, _ bool) {
 		p, known := t.parts[id]
 		if !known || levels[id] != LevelSuspected {
-			continue
+			return
 		}
-		if last, undecided := p.lastUndecided(); undecided && t.recent.share(id) <= maxHoldBackShare {
-			hold = max(hold, holdBackTime-now.Sub(last))
+		last, length := p.holdBack()
+		// Holding back what nearly all requests have leaves no others that can begin.
+		if length > 0 && (p.isNeverSound() || t.recent.share(id) <= maxHoldBackShare) {
+			hold = max(hold, length-now.Sub(last))
 		}
-	}
+	})
 	return hold
 }
 
+// holdBack returns for how long a part must be held back after its last crash; 0 if it
+// may run.
+func (p *part) holdBack() (last time.Time, length time.Duration) {
+	switch {
+	case p.isRequest && p.wasSound:
+		return last, 0 // it clears itself
+	case !p.isRequest:
+		last, undecided := p.lastUndecided()
+		if !undecided {
+			return last, 0
+		}
+		return last, holdBackTime
+	}
+	uncleared := p.unclearedCrashes()
+	if uncleared < quarantiningCrashes {
+		return last, 0
+	}
+	return p.lastEvidence(), holdBackTime << min(uncleared-quarantiningCrashes, maxHoldBackDoublings)
+}
+
 // lastUndecided returns the time of the last crash of a part, and whether its crashes
 // would quarantine it if answers of the same service without it had begun since.
 func (p *part) lastUndecided() (last time.Time, undecided bool) {
--- a/internal/quarantiner/holdback_test.go
+++ b/internal/quarantiner/holdback_test.go
@@ -17,23 +17,23 @@
 	anyone := func(uint64) bool { return true }
 	for number := range quarantiningCrashes {
 		for range 4 {
-			table.Admit(now, []uint64{common, sound}, anyone)
+			table.Admit(now, Traits{Parts: []uint64{common, sound}}, anyone)
 		}
-		assert.Assert(t, !table.Admit(now, []uint64{common, culprit}, anyone).HeldBack, "after %d crashes", number)
+		assert.Assert(t, !table.Admit(now, Traits{Parts: []uint64{common, culprit}}, anyone).HeldBack, "after %d crashes", number)
 		now = now.Add(600 * time.Millisecond)
-		table.RecordCrash(now, CrashID(number), "s", []uint64{common, culprit})
-		table.RecordCrash(now, CrashID(number), "s", []uint64{common, sound})
+		table.RecordCrash(now, CrashID(number), "s", Traits{Parts: []uint64{common, culprit}})
+		table.RecordCrash(now, CrashID(number), "s", Traits{Parts: []uint64{common, sound}})
 	}
 	now = now.Add(verdictLifetime)
-	admission := table.Admit(now, []uint64{common, culprit}, anyone)
+	admission := table.Admit(now, Traits{Parts: []uint64{common, culprit}}, anyone)
 	assert.Assert(t, admission.HeldBack)
 	assert.Assert(t, admission.RetryAfter > settleTime-verdictLifetime && admission.RetryAfter <= holdBackTime)
-	assert.Assert(t, !table.Admit(now, []uint64{common, sound}, anyone).HeldBack, "nearly all requests have the part")
+	assert.Assert(t, !table.Admit(now, Traits{Parts: []uint64{common, sound}}, anyone).HeldBack, "nearly all requests have the part")
 
-	table.RecordSoundBegin(now.Add(time.Millisecond), "s", []uint64{common, sound})
+	table.RecordSoundBegin(now.Add(time.Millisecond), "s", Traits{Parts: []uint64{common, sound}})
 	now = now.Add(settleTime)
-	assert.Equal(t, table.Level(now, []uint64{common, sound}), LevelClear)
-	assert.Equal(t, table.Level(now, []uint64{culprit}), LevelQuarantined)
+	assert.Equal(t, table.Level(now, Traits{Parts: []uint64{common, sound}}), LevelClear)
+	assert.Equal(t, table.Level(now, Traits{Parts: []uint64{culprit}}), LevelQuarantined)
 }
 
 // TestSuspectedPartIsHeldBackForAMoment has no answer begin although the part is held
@@ -43,12 +43,12 @@
 	anyone := func(uint64) bool { return true }
 	for number := range quarantiningCrashes {
 		now = start.Add(time.Duration(number) * time.Second)
-		table.RecordCrash(now, CrashID(number), "s", []uint64{1})
+		table.RecordCrash(now, CrashID(number), "s", Traits{Parts: []uint64{1}})
 	}
 	for range minRecentRequests {
-		table.Admit(now, []uint64{2}, anyone)
+		table.Admit(now, Traits{Parts: []uint64{2}}, anyone)
 	}
 	now = now.Add(verdictLifetime)
-	assert.Assert(t, table.Admit(now, []uint64{1}, anyone).HeldBack)
-	assert.Assert(t, !table.Admit(now.Add(holdBackTime), []uint64{1}, anyone).HeldBack)
+	assert.Assert(t, table.Admit(now, Traits{Parts: []uint64{1}}, anyone).HeldBack)
+	assert.Assert(t, !table.Admit(now.Add(holdBackTime), Traits{Parts: []uint64{1}}, anyone).HeldBack)
 }
--- a/internal/quarantiner/judge.go
+++ b/internal/quarantiner/judge.go
@@ -8,7 +8,8 @@
 
 // judge returns the level of each part that is not clear. The parts with the most
 // separate crashes are quarantined first; their crashes then no longer count
-// against the parts of other requests that were at the same servers.
+// against the parts of other requests that were at the same servers. A request goes
+// before its parts unless these have crashed servers in other requests, too.
 func (t *Table) judge(now time.Time) map[uint64]Level {
 	levels, suspects := map[uint64]Level{}, map[uint64]*part{}
 	for id, p := range t.parts {
@@ -22,44 +23,130 @@
 	history := t.history()
 	settled := now.Add(-settleTime)
 	for {
-		most, leaders := 0, []uint64(nil)
-		for id, p := range suspects {
-			if levels[id] == LevelQuarantined {
-				continue
-			}
-			times := history.separateCrashes(p, settled, crash.isEvidence)
-			if len(times) < quarantiningCrashes || len(times) < backgroundCrashes && history.share(times, settled) < minCrashShare {
-				continue
-			}
-			if len(times) > most {
-				most, leaders = len(times), nil
-			}
-			if len(times) == most {
-				leaders = append(leaders, id)
-			}
+		parts := history.leadingParts(suspects, levels, settled)
+		requests := history.repeatedRequests(suspects, levels, settled, parts)
+		convicted := requests
+		if len(requests) == 0 {
+			convicted = parts
 		}
-		if len(leaders) == 0 || len(leaders) > 1 && most < tiedCrashes {
+		if len(convicted) == 0 {
 			break
 		}
-		for _, id := range leaders {
+		for _, id := range convicted {
 			levels[id] = LevelQuarantined
 		}
-		for _, id := range leaders {
+		for _, id := range convicted {
 			history.explain(t.parts[id])
 		}
 	}
 	for id, p := range suspects {
-		until := now
-		if _, wasSound := t.beginsByPart[id]; wasSound {
-			until = now.Add(-soundSettleTime)
-		}
-		if levels[id] == LevelClear && len(history.separateCrashes(p, until, crash.isSuspicious)) >= suspectingCrashes {
+		if levels[id] == LevelClear && t.isSuspected(now, id, p, history) {
 			levels[id] = LevelSuspected
 		}
 	}
 	return levels
 }
 
+// isSuspected reports whether two crashes under a part are left that nothing explains.
+func (t *Table) isSuspected(now time.Time, id uint64, p *part, history *history) bool {
+	if p.isNeverSound() {
+		return history.count(p, now, crash.isSuspicious) >= suspectingCrashes
+	}
+	until := now
+	if !t.lastBegin(id, p).IsZero() {
+		until = now.Add(-soundSettleTime)
+	}
+	return len(history.separateCrashes(p, until, crash.isSuspicious)) >= suspectingCrashes
+}
+
+// isNeverSound reports whether this is a request on which no answer is known to have
+// begun soundly. All of its runs may have crashed their servers, so that servers that
+// crash at the same time are no sign of another cause.
+func (p *part) isNeverSound() bool {
+	return p.isRequest && !p.wasSound
+}
+
+// leadingParts returns the parts that have the most separate crashes, among them requests
+// that have been sound, if these are enough to quarantine them.
+func (h *history) leadingParts(suspects map[uint64]*part, levels map[uint64]Level, settled time.Time) (leaders []uint64) {
+	most := 0
+	for id, p := range suspects {
+		if levels[id] == LevelQuarantined || p.isNeverSound() {
+			continue
+		}
+		times := h.separateCrashes(p, settled, p.counts(settled))
+		if len(times) < quarantiningCrashes || len(times) < backgroundCrashes && h.share(times, settled) < minCrashShare {
+			continue
+		}
+		if len(times) > most {
+			most, leaders = len(times), nil
+		}
+		if len(times) == most {
+			leaders = append(leaders, id)
+		}
+	}
+	if len(leaders) > 1 && most < tiedCrashes {
+		return nil
+	}
+	return leaders
+}
+
+// repeatedRequests returns, of the requests that have never been sound and whose crashes
+// are enough to quarantine them, those with the most. Requests are left out whose crashes
+// are all those of a leading part that has crashed servers without them.
+func (h *history) repeatedRequests(suspects map[uint64]*part, levels map[uint64]Level, settled time.Time, leadingParts []uint64) (requests []uint64) {
+	most := quarantiningCrashes
+	for id, p := range suspects {
+		if levels[id] == LevelQuarantined || !p.isNeverSound() {
+			continue
+		}
+		crashes := h.count(p, settled, p.counts(settled))
+		if crashes < most || slices.ContainsFunc(leadingParts, func(part uint64) bool { return h.isPartOfMore(p, suspects[part]) }) {
+			continue
+		}
+		if crashes > most {
+			most, requests = crashes, nil
+		}
+		requests = append(requests, id)
+	}
+	return requests
+}
+
+// minCrashesOfOthers is how many crashes a part must have had in other requests to go
+// before a request.
+const minCrashesOfOthers = 2
+
+// isPartOfMore reports whether a part was at all crashes of a request and at some others.
+func (h *history) isPartOfMore(request, part *part) bool {
+	others := 0
+	for id, c := range part.crashes {
+		if _, unexplained := h.times[id]; unexplained && !c.cleared {
+			others++
+		}
+	}
+	for id, c := range request.crashes {
+		if _, unexplained := h.times[id]; !unexplained || c.cleared {
+			continue
+		}
+		if shared, exists := part.crashes[id]; !exists || shared.cleared {
+			return false
+		}
+		others--
+	}
+	return others >= minCrashesOfOthers
+}
+
+// count returns how many crashes of a part up to a time count and are not explained.
+func (h *history) count(p *part, until time.Time, counts func(crash) bool) int {
+	count := 0
+	for id, c := range p.crashes {
+		if _, unexplained := h.times[id]; unexplained && counts(c) && !c.at.After(until) {
+			count++
+		}
+	}
+	return count
+}
+
 // history holds all known crashes that no quarantined part explains.
 type history struct {
 	times map[CrashID]time.Time
@@ -117,6 +204,17 @@
 	return !c.cleared && c.contrasted
 }
 
+// counts returns which crashes of a part count towards a quarantine at a time when those
+// until settled do. A request that is popular begins again soon after the servers work
+// again; it must have had the time.
+func (p *part) counts(settled time.Time) func(crash) bool {
+	if !p.isRequest {
+		return crash.isEvidence
+	}
+	until := settled.Add(settleTime - soundSettleTime)
+	return func(c crash) bool { return c.isEvidence() && !c.contrastedAt.After(until) }
+}
+
 // separateCrashes returns the times of a part's separate crashes up to a time that
 // count and that are not explained. Those of a window count only if the part was
 // at half of the servers that crashed then: a part that was at few of many has
--- a/internal/quarantiner/scenario_test.go
+++ b/internal/quarantiner/scenario_test.go
@@ -25,6 +25,9 @@
 	culpritRate float64
 	// sharedPart means that the culprit's requests have the popular first part.
 	sharedPart bool
+	// repeated means that the culprit is a request that comes again whole, with the parts
+	// of a sound one.
+	repeated bool
 	// crash, unless nil, returns the servers that crash for other reasons.
 	crash func(now time.Duration, random *rand.Rand) []int
 }
@@ -39,10 +42,13 @@
 	soundAfter = time.Second
 
 	popularPart, culpritPart = 1, 2
+	// popularRequest is a sound request that comes again and again.
+	popularRequest, culpritRequest = 3, 4
+	firstSoundRequest              = 1_000_000
 )
 
 type scenarioRequest struct {
-	parts       []uint64
+	traits      Traits
 	server      int
 	sent        time.Time
 	soundTold   bool
@@ -53,38 +59,45 @@
 // servers, how often servers crashed under it until then, and which parts were
 // quarantined.
 func (s scenario) run(seed uint64) (culprits int, quarantined map[uint64]bool) {
-	random := rand.New(rand.NewPCG(seed, 1))
+	random, ids := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
 	var table Table
 	quarantined = map[uint64]bool{}
 	var running []scenarioRequest
 	downUntil := make([]time.Time, scenarioServers)
 	starts := make([]int64, scenarioServers)
-	send := func(now time.Time, parts []uint64, retries int) {
-		level := table.Level(now, parts)
-		if level == LevelQuarantined {
+	isCulprit := func(traits Traits) bool { return traits.has(culpritPart) || traits.has(culpritRequest) }
+	send := func(now time.Time, traits Traits, retries int) {
+		admission := table.Admit(now, traits, func(uint64) bool { return false })
+		if admission.Level == LevelQuarantined || admission.HeldBack {
 			return
 		}
 		server := random.IntN(scenarioServers)
 		if now.Before(downUntil[server]) {
 			return
 		}
-		if parts[len(parts)-1] == culpritPart {
+		if isCulprit(traits) {
 			culprits++
 		}
-		running = append(running, scenarioRequest{parts: parts, server: server, sent: now, retriesLeft: retries})
+		running = append(running, scenarioRequest{traits: traits, server: server, sent: now, retriesLeft: retries})
 	}
 	for elapsed := time.Duration(0); elapsed < *scenarioDuration; elapsed += scenarioStep {
 		now := start.Add(elapsed)
 		if random.Float64() < s.soundRate*scenarioStep.Seconds() {
-			rare := 1000 + uint64(random.IntN(400))
-			send(now, []uint64{popularPart, rare}, 2)
+			rare, id := 1000+uint64(random.IntN(400)), firstSoundRequest+ids.Uint64N(1<<40)
+			if rare%10 == 0 {
+				id = popularRequest
+			}
+			send(now, Traits{Request: id, Parts: []uint64{popularPart, rare}}, 2)
 		}
 		if random.Float64() < s.culpritRate*scenarioStep.Seconds() {
-			parts := []uint64{culpritPart}
-			if s.sharedPart {
-				parts = []uint64{popularPart, culpritPart}
+			traits := Traits{Request: firstSoundRequest + ids.Uint64N(1<<40), Parts: []uint64{culpritPart}}
+			switch {
+			case s.repeated:
+				traits = Traits{Request: culpritRequest, Parts: []uint64{popularPart, 1001}}
+			case s.sharedPart:
+				traits.Parts = []uint64{popularPart, culpritPart}
 			}
-			send(now, parts, 2)
+			send(now, traits, 2)
 		}
 		crashed := map[int]bool{}
 		if s.crash != nil {
@@ -93,7 +106,7 @@
 			}
 		}
 		for _, r := range running {
-			if r.parts[len(r.parts)-1] == culpritPart && !now.Before(r.sent.Add(beginDelay)) {
+			if isCulprit(r.traits) && !now.Before(r.sent.Add(beginDelay)) {
 				crashed[r.server] = true
 			}
 		}
@@ -104,12 +117,12 @@
 			switch {
 			case crashed[r.server]:
 				if now.Sub(began) < soundAfter {
-					table.RecordCrash(now, NewCrashID(string(rune('a'+r.server)), starts[r.server]), "s", r.parts)
+					table.RecordCrash(now, NewCrashID(string(rune('a'+r.server)), starts[r.server]), "s", r.traits)
 				}
 				broken = append(broken, r)
 				continue
 			case !r.soundTold && now.Sub(began) >= soundAfter:
-				table.RecordSoundBegin(began, "s", r.parts)
+				table.RecordSoundBegin(began, "s", r.traits)
 				r.soundTold = true
 			}
 			if now.Sub(began) < workTime {
@@ -122,15 +135,15 @@
 			starts[server]++
 		}
 		for _, r := range broken {
-			if r.retriesLeft > 0 && table.Level(now, r.parts) == LevelClear {
-				send(now, r.parts, r.retriesLeft-1)
+			if r.retriesLeft > 0 && table.Level(now, r.traits) == LevelClear {
+				send(now, r.traits, r.retriesLeft-1)
 			}
 		}
 		if elapsed%verdictLifetime != 0 {
 			continue
 		}
 		for _, finding := range table.Findings(now) {
-			if finding.Level == LevelQuarantined {
+			if finding.Level == LevelQuarantined && finding.Part < firstSoundRequest {
 				quarantined[finding.Part] = true
 			}
 		}
@@ -155,6 +168,10 @@
 		{name: "culprit each second", soundRate: 60, culpritRate: 1, sharedPart: true},
 		{name: "dense culprit", soundRate: 60, culpritRate: 8, sharedPart: true},
 		{name: "little sound traffic", soundRate: 4, culpritRate: 2, sharedPart: true},
+		{name: "request repeated now and then", soundRate: 60, culpritRate: 0.2, repeated: true},
+		{name: "request repeated each second", soundRate: 60, culpritRate: 1, repeated: true},
+		{name: "request repeated all the time", soundRate: 60, culpritRate: 8, repeated: true},
+		{name: "request repeated beside little sound traffic", soundRate: 4, culpritRate: 2, repeated: true},
 		{name: "zone loses power", soundRate: 60, crash: func(now time.Duration, _ *rand.Rand) []int {
 			if isAt(now, 40*time.Second) {
 				return share(8)
@@ -208,11 +225,17 @@
 			for seed := range *scenarioSeeds {
 				culprits, quarantined := test.run(seed)
 				want := map[uint64]bool{}
-				if test.culpritRate > 0 {
+				switch {
+				case test.repeated:
+					want[culpritRequest] = true
+				case test.culpritRate > 0:
 					want[culpritPart] = true
 				}
 				assert.Check(t, cmp.DeepEqual(quarantined, want), "seed %d", seed)
 				limit := 5 + int(test.culpritRate*8) + 8
+				if test.repeated {
+					limit = quarantiningCrashes + int(test.culpritRate*5) + 3
+				}
 				assert.Assert(t, culprits <= limit, "seed %d: %d requests with the culprit reached servers, more than %d", seed, culprits, limit)
 			}
 		})
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -1,9 +1,10 @@
-// Package quarantiner finds the parts of prompts that crash servers.
+// Package quarantiner finds the requests, and the parts of prompts, that crash servers.
 //
-// A [Table] collects, for each part, the crashes of servers where a request with
-// the part was about to begin its answer. A sound begin of an answer on the part
-// clears the crashes before it. What is left after several separate crashes
-// quarantines the part: requests with it are refused.
+// A [Table] collects, for each request and each part, the crashes of servers where it
+// was about to begin its answer. A sound begin of an answer on it clears the crashes
+// before. What is left after several crashes quarantines the request, or the part:
+// requests that are it, or have it, are refused. Below, part means both, unless requests
+// are named: a request is like a part that only its own repetitions have.
 //
 // Tables from several sources merge to the same state in any order. They grow only
 // by union, so that a report may arrive late, twice or by several ways. Ages go
@@ -64,6 +65,11 @@
 type Part struct {
 	ID      uint64  `cbor:"i"`
 	Crashes []Crash `cbor:"c,omitempty"`
+	// IsRequest means that this is a request.
+	IsRequest bool `cbor:"r,omitempty"`
+	// WasSound means that an answer on the request has begun soundly, before a crash or
+	// after it.
+	WasSound bool `cbor:"s,omitempty"`
 	// Probes counts the requests that were let through as probes, the last of them
 	// ProbeAge ago.
 	Probes   int           `cbor:"p,omitempty"`
@@ -82,12 +88,17 @@
 	// Contrasted means that an answer of the same service without the part has begun
 	// soundly since: the servers work.
 	Contrasted bool `cbor:"o,omitempty"`
+	// ContrastAge is how long ago the earliest such answer began; 0 from releases that do
+	// not tell.
+	ContrastAge time.Duration `cbor:"n,omitempty"`
 	// Service is the hash of the server's service.
 	Service uint64 `cbor:"s,omitempty"`
 }
 
 // part is a suspected part in a table.
 type part struct {
+	isRequest, wasSound bool
+
 	crashes  map[CrashID]crash
 	probes   int
 	probedAt time.Time
@@ -102,7 +113,9 @@
 type crash struct {
 	at                  time.Time
 	cleared, contrasted bool
-	service             uint64
+	// contrastedAt is when the answer began that contrasted the crash.
+	contrastedAt time.Time
+	service      uint64
 }
 
 // isOpen reports whether it is not known yet how answers begin since the crash.
@@ -116,11 +129,13 @@
 	parts map[uint64]*part
 	// beginsByPart holds the last sound begin of each part that was recorded here.
 	beginsByPart map[uint64]time.Time
+	// beginsByRequest holds the last sound begins of requests.
+	beginsByRequest recentBegins
 	// beginsByService holds the last sound begin of each service, by its hash.
 	beginsByService map[uint64]time.Time
-	// earliestOpen is the time of the earliest crash that is open; zero if there is
-	// none.
-	earliestOpen time.Time
+	// earliestOpen holds the time of the earliest crash that is open, by the hash of its
+	// service.
+	earliestOpen map[uint64]time.Time
 	revision     uint64
 	verdict      verdict
 	// recent are the requests that were asked for here.
@@ -133,40 +148,39 @@
 }
 
 // RecordCrash records that a server of a service crashed while a request with some
-// parts was there, which had not begun long before.
-func (t *Table) RecordCrash(at time.Time, id CrashID, service string, parts []uint64) {
-	for _, partID := range parts {
+// traits was there, which had not begun long before.
+func (t *Table) RecordCrash(at time.Time, id CrashID, service string, traits Traits) {
+	traits.each(func(partID uint64, isRequest bool) {
 		p := t.part(partID)
+		p.isRequest = p.isRequest || isRequest
 		if t.addCrash(partID, p, id, crash{at: at, service: xxhash.Sum64String(service)}) {
 			t.markOwnChange(p)
 		}
-	}
+	})
 	t.dropExcess()
 }
 
-// RecordSoundBegin records that an answer of a service on some parts began soundly.
+// RecordSoundBegin records that an answer of a service on some traits began soundly.
 // It clears the crashes before, also those that are reported later, and shows that
 // the service's servers work without the other parts.
-func (t *Table) RecordSoundBegin(began time.Time, service string, parts []uint64) {
+func (t *Table) RecordSoundBegin(began time.Time, service string, traits Traits) {
 	if t.beginsByPart == nil {
 		t.beginsByPart, t.beginsByService = map[uint64]time.Time{}, map[uint64]time.Time{}
 	}
-	if hash := xxhash.Sum64String(service); began.After(t.beginsByService[hash]) {
+	hash := xxhash.Sum64String(service)
+	if began.After(t.beginsByService[hash]) {
 		t.beginsByService[hash] = began
 	}
-	for _, partID := range parts {
-		last, known := t.beginsByPart[partID]
-		if (known || len(t.beginsByPart) < maxBegins) && began.After(last) {
-			t.beginsByPart[partID] = began
-		}
+	traits.each(func(partID uint64, isRequest bool) {
+		t.recordBegin(began, partID, isRequest)
 		if p, known := t.parts[partID]; known && t.refine(partID, p) {
 			t.markOwnChange(p)
 		}
-	}
-	if t.earliestOpen.IsZero() || !t.earliestOpen.Before(began) {
+	})
+	if earliest, exists := t.earliestOpen[hash]; !exists || !earliest.Before(began) {
 		return
 	}
-	t.earliestOpen = time.Time{}
+	delete(t.earliestOpen, hash)
 	for partID, p := range t.parts {
 		if t.refine(partID, p) {
 			t.markOwnChange(p)
@@ -179,17 +193,25 @@
 
 // noteOpen updates earliestOpen for a crash.
 func (t *Table) noteOpen(c crash) {
-	if c.isOpen() && (t.earliestOpen.IsZero() || c.at.Before(t.earliestOpen)) {
-		t.earliestOpen = c.at
+	if !c.isOpen() {
+		return
+	}
+	if t.earliestOpen == nil {
+		t.earliestOpen = map[uint64]time.Time{}
+	}
+	if earliest, exists := t.earliestOpen[c.service]; !exists || c.at.Before(earliest) {
+		t.earliestOpen[c.service] = c.at
 	}
 }
 
 // refine applies the sound begins that were recorded here to the crashes of a part.
 // It reports whether that changed any.
 func (t *Table) refine(partID uint64, p *part) bool {
-	changed := false
+	began := t.lastBegin(partID, p)
+	changed := p.isRequest && !p.wasSound && !began.IsZero()
+	p.wasSound = p.wasSound || changed
 	for id, c := range p.crashes {
-		if refined := t.refineCrash(partID, c); refined != c {
+		if refined := t.refineCrash(began, c); refined != c {
 			p.crashes[id] = refined
 			changed = true
 		}
@@ -197,10 +219,13 @@
 	return changed
 }
 
-func (t *Table) refineCrash(partID uint64, c crash) crash {
-	c.cleared = c.cleared || c.at.Before(t.beginsByPart[partID])
+// refineCrash applies the last sound begin on a part to one of its crashes.
+func (t *Table) refineCrash(began time.Time, c crash) crash {
+	c.cleared = c.cleared || c.at.Before(began)
 	// A begin on the part itself would have cleared the crash.
-	c.contrasted = c.contrasted || !c.cleared && c.at.Before(t.beginsByService[c.service])
+	if last := t.beginsByService[c.service]; !c.cleared && !c.contrasted && c.at.Before(last) {
+		c.contrasted, c.contrastedAt = true, last
+	}
 	return c
 }
 
@@ -224,19 +249,25 @@
 	after := added
 	if known {
 		after.cleared, after.contrasted = after.cleared || before.cleared, after.contrasted || before.contrasted
+		if before.contrasted && (!added.contrasted || before.contrastedAt.Before(added.contrastedAt)) {
+			after.contrastedAt = before.contrastedAt
+		}
 		after.service = max(after.service, before.service)
 		if before.at.Before(after.at) {
 			after.at = before.at
 		}
 	}
-	after = t.refineCrash(partID, after)
+	began := t.lastBegin(partID, p)
+	becameSound := p.isRequest && !p.wasSound && !began.IsZero()
+	p.wasSound = p.wasSound || becameSound
+	after = t.refineCrash(began, after)
 	t.noteOpen(after)
 	p.crashes[id] = after
 	if len(p.crashes) > maxCrashes {
 		p.dropExcess()
 	}
 	_, kept := p.crashes[id]
-	return kept && (!known || after.cleared != before.cleared || after.contrasted != before.contrasted)
+	return becameSound || kept && (!known || after.cleared != before.cleared || after.contrasted != before.contrasted)
 }
 
 // dropExcess drops the crash that matters least.
@@ -329,6 +360,7 @@
 	for _, begins := range []map[uint64]time.Time{t.beginsByPart, t.beginsByService} {
 		maps.DeleteFunc(begins, func(_ uint64, began time.Time) bool { return now.Sub(began) > beginRetention })
 	}
+	t.beginsByRequest.expire(now)
 	levels := t.levels(now)
 	t.verdict.levels = nil
 	for id, p := range t.parts {
--- a/internal/quarantiner/table_test.go
+++ b/internal/quarantiner/table_test.go
@@ -22,8 +22,8 @@
 	now := start
 	for i := range count {
 		now = start.Add(time.Duration(i) * 2 * time.Second)
-		t.RecordCrash(now, CrashID(100+i), "s", parts)
-		t.RecordSoundBegin(now.Add(time.Second), "s", []uint64{otherPart})
+		t.RecordCrash(now, CrashID(100+i), "s", Traits{Parts: parts})
+		t.RecordSoundBegin(now.Add(time.Second), "s", Traits{Parts: []uint64{otherPart}})
 	}
 	return now.Add(settleTime)
 }
@@ -42,48 +42,48 @@
 		}, LevelSuspected},
 		{"servers that ended together", func(t *Table) time.Time {
 			for i := range 20 {
-				t.RecordCrash(start.Add(time.Duration(i)*crashWindow/20), CrashID(i), "s", []uint64{1})
+				t.RecordCrash(start.Add(time.Duration(i)*crashWindow/20), CrashID(i), "s", Traits{Parts: []uint64{1}})
 			}
 			return start.Add(settleTime + crashWindow)
 		}, LevelClear},
 		{"the same crash from several instances", func(t *Table) time.Time {
 			for i := range 5 {
-				t.RecordCrash(start.Add(time.Duration(i)*time.Second), 7, "s", []uint64{1})
+				t.RecordCrash(start.Add(time.Duration(i)*time.Second), 7, "s", Traits{Parts: []uint64{1}})
 			}
 			return start.Add(time.Minute)
 		}, LevelClear},
 		{"sound begin after the crashes", func(t *Table) time.Time {
 			now := crashEvery(t, 3, 1)
-			t.RecordSoundBegin(now, "s", []uint64{1})
+			t.RecordSoundBegin(now, "s", Traits{Parts: []uint64{1}})
 			return now
 		}, LevelClear},
 		{"sound begin before a crash that is reported late", func(t *Table) time.Time {
-			t.RecordSoundBegin(start.Add(time.Second), "s", []uint64{1})
+			t.RecordSoundBegin(start.Add(time.Second), "s", Traits{Parts: []uint64{1}})
 			return crashEvery(t, 3, 1)
 		}, LevelSuspected},
 		{"two crashes soon after a sound begin", func(t *Table) time.Time {
-			t.RecordSoundBegin(start.Add(-time.Second), "s", []uint64{1})
-			t.RecordCrash(start, 7, "s", []uint64{1})
-			t.RecordCrash(start.Add(time.Second), 8, "s", []uint64{1})
+			t.RecordSoundBegin(start.Add(-time.Second), "s", Traits{Parts: []uint64{1}})
+			t.RecordCrash(start, 7, "s", Traits{Parts: []uint64{1}})
+			t.RecordCrash(start.Add(time.Second), 8, "s", Traits{Parts: []uint64{1}})
 			return start.Add(1100 * time.Millisecond)
 		}, LevelClear},
 		{"two crashes some time after a sound begin", func(t *Table) time.Time {
-			t.RecordSoundBegin(start.Add(-time.Second), "s", []uint64{1})
-			t.RecordCrash(start, 7, "s", []uint64{1})
-			t.RecordCrash(start.Add(time.Second), 8, "s", []uint64{1})
+			t.RecordSoundBegin(start.Add(-time.Second), "s", Traits{Parts: []uint64{1}})
+			t.RecordCrash(start, 7, "s", Traits{Parts: []uint64{1}})
+			t.RecordCrash(start.Add(time.Second), 8, "s", Traits{Parts: []uint64{1}})
 			return start.Add(time.Second + settleTime)
 		}, LevelSuspected},
 		{"no other answer begins", func(t *Table) time.Time {
 			for i := range 9 {
-				t.RecordCrash(start.Add(time.Duration(i)*time.Second), CrashID(i), "s", []uint64{1})
+				t.RecordCrash(start.Add(time.Duration(i)*time.Second), CrashID(i), "s", Traits{Parts: []uint64{1}})
 			}
 			return start.Add(time.Minute)
 		}, LevelSuspected},
 		{"other answers begin only at another service", func(t *Table) time.Time {
 			for i := range 9 {
-				t.RecordCrash(start.Add(time.Duration(i)*time.Second), CrashID(i), "s", []uint64{1})
+				t.RecordCrash(start.Add(time.Duration(i)*time.Second), CrashID(i), "s", Traits{Parts: []uint64{1}})
 			}
-			t.RecordSoundBegin(start.Add(time.Minute), "other", []uint64{otherPart})
+			t.RecordSoundBegin(start.Add(time.Minute), "other", Traits{Parts: []uint64{otherPart}})
 			return start.Add(time.Minute)
 		}, LevelSuspected},
 		{"always with another part", func(t *Table) time.Time { return crashEvery(t, 3, 1, 2) }, LevelSuspected},
@@ -93,7 +93,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			var table Table
 			now := test.prepare(&table)
-			assert.Equal(t, table.Level(now, []uint64{1}), test.want)
+			assert.Equal(t, table.Level(now, Traits{Parts: []uint64{1}}), test.want)
 		})
 	}
 }
@@ -103,44 +103,44 @@
 func TestInnocentPartIsNotConvictedWithCulprit(t *testing.T) {
 	var table Table
 	crashEvery(&table, 3, 1, 2)
-	table.RecordCrash(start.Add(10*time.Second), 900, "s", []uint64{2})
-	table.RecordSoundBegin(start.Add(11*time.Second), "s", []uint64{otherPart})
+	table.RecordCrash(start.Add(10*time.Second), 900, "s", Traits{Parts: []uint64{2}})
+	table.RecordSoundBegin(start.Add(11*time.Second), "s", Traits{Parts: []uint64{otherPart}})
 	now := start.Add(time.Minute)
-	assert.Equal(t, table.Level(now, []uint64{2}), LevelQuarantined)
-	assert.Equal(t, table.Level(now, []uint64{1}), LevelClear)
+	assert.Equal(t, table.Level(now, Traits{Parts: []uint64{2}}), LevelQuarantined)
+	assert.Equal(t, table.Level(now, Traits{Parts: []uint64{1}}), LevelClear)
 }
 
 func TestProbeEndsHold(t *testing.T) {
 	var table Table
 	convicted := crashEvery(&table, 3, 1)
 	anyone := func(uint64) bool { return true }
-	during := table.Admit(convicted, []uint64{1}, anyone)
+	during := table.Admit(convicted, Traits{Parts: []uint64{1}}, anyone)
 	assert.Assert(t, !during.Probe && during.Level == LevelQuarantined && during.RetryAfter > 9*time.Minute, "%+v", during)
 	after := convicted.Add(HoldTime)
-	assert.Assert(t, !table.Admit(after, []uint64{1}, func(uint64) bool { return false }).Probe, "another instance probed")
-	assert.Assert(t, table.Admit(after, []uint64{1}, anyone).Probe)
-	assert.Assert(t, !table.Admit(after, []uint64{1}, anyone).Probe, "a second probe in the same hold")
-	table.RecordCrash(after.Add(time.Second), 500, "s", []uint64{1})
+	assert.Assert(t, !table.Admit(after, Traits{Parts: []uint64{1}}, func(uint64) bool { return false }).Probe, "another instance probed")
+	assert.Assert(t, table.Admit(after, Traits{Parts: []uint64{1}}, anyone).Probe)
+	assert.Assert(t, !table.Admit(after, Traits{Parts: []uint64{1}}, anyone).Probe, "a second probe in the same hold")
+	table.RecordCrash(after.Add(time.Second), 500, "s", Traits{Parts: []uint64{1}})
 	again := after.Add(HoldTime + time.Second)
-	assert.Assert(t, table.Admit(again, []uint64{1}, anyone).Probe)
+	assert.Assert(t, table.Admit(again, Traits{Parts: []uint64{1}}, anyone).Probe)
 	for range 5 {
 		again = again.Add(HoldTime + time.Second)
-		assert.Assert(t, !table.Admit(again, []uint64{1}, anyone).Probe, "more than %d probes", maxProbes)
+		assert.Assert(t, !table.Admit(again, Traits{Parts: []uint64{1}}, anyone).Probe, "more than %d probes", maxProbes)
 		table.Expire(again)
 	}
 	again = again.Add(time.Second)
-	table.RecordSoundBegin(again, "s", []uint64{1})
-	assert.Equal(t, table.Level(again, []uint64{1}), LevelClear)
+	table.RecordSoundBegin(again, "s", Traits{Parts: []uint64{1}})
+	assert.Equal(t, table.Level(again, Traits{Parts: []uint64{1}}), LevelClear)
 }
 
 func TestForgottenAfterRetention(t *testing.T) {
 	var table Table
 	now := crashEvery(&table, 3, 1)
-	table.RecordCrash(now, 900, "s", []uint64{5})
+	table.RecordCrash(now, 900, "s", Traits{Parts: []uint64{5}})
 	table.Expire(now.Add(HoldTime + time.Second))
 	assert.Equal(t, len(table.parts), 1, "evidence short of a quarantine was kept")
 	asked := now.Add(quarantineRetention - time.Second)
-	table.Admit(asked, []uint64{1}, func(uint64) bool { return false })
+	table.Admit(asked, Traits{Parts: []uint64{1}}, func(uint64) bool { return false })
 	table.Expire(asked.Add(quarantineRetention - time.Second))
 	assert.Equal(t, len(table.parts), 1, "a part was forgotten although requests with it came")
 	table.Expire(asked.Add(quarantineRetention + time.Second))
@@ -154,18 +154,18 @@
 	now := start
 	for i := range 3 * maxParts {
 		now = now.Add(time.Millisecond)
-		table.RecordCrash(now, CrashID(i), "s", []uint64{uint64(10 + i)})
+		table.RecordCrash(now, CrashID(i), "s", Traits{Parts: []uint64{uint64(10 + i)}})
 		if i%500 == 0 {
-			table.RecordCrash(now, CrashID(i), "s", []uint64{1})
+			table.RecordCrash(now, CrashID(i), "s", Traits{Parts: []uint64{1}})
 		}
 	}
 	for i := range 3 * maxBegins {
-		table.RecordSoundBegin(now.Add(time.Millisecond), "s", []uint64{uint64(1_000_000 + i)})
+		table.RecordSoundBegin(now.Add(time.Millisecond), "s", Traits{Parts: []uint64{uint64(1_000_000 + i)}})
 	}
 	assert.Assert(t, len(table.parts) <= maxParts && len(table.beginsByPart) <= maxBegins)
-	assert.Equal(t, table.Level(now.Add(settleTime), []uint64{1}), LevelQuarantined)
+	assert.Equal(t, table.Level(now.Add(settleTime), Traits{Parts: []uint64{1}}), LevelQuarantined)
 	for i := range 3 * maxCrashes {
-		table.RecordCrash(now.Add(time.Duration(i)*time.Second), CrashID(1_000_000+i), "s", []uint64{1})
+		table.RecordCrash(now.Add(time.Duration(i)*time.Second), CrashID(1_000_000+i), "s", Traits{Parts: []uint64{1}})
 	}
 	assert.Equal(t, len(table.parts[1].crashes), maxCrashes)
 	table.Expire(now.Add(2 * quarantineRetention))
@@ -194,17 +194,19 @@
 		tables := make([]Table, 3)
 		now := start
 		index := rapid.IntRange(0, len(tables)-1)
-		someParts := rapid.SliceOfN(rapid.Uint64Range(1, 4), 1, 3)
+		someTraits := rapid.Custom(func(t *rapid.T) Traits {
+			return request(rapid.Uint64Range(0, 2).Draw(t, "request")*100, rapid.SliceOfN(rapid.Uint64Range(1, 4), 1, 3).Draw(t, "parts")...)
+		})
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "pause")) * time.Millisecond)
 			table := &tables[index.Draw(t, "table")]
 			switch rapid.IntRange(0, 3).Draw(t, "event") {
 			case 0:
-				table.RecordCrash(now, CrashID(rapid.IntRange(1, 12).Draw(t, "crash")), "s", someParts.Draw(t, "parts"))
+				table.RecordCrash(now, CrashID(rapid.IntRange(1, 12).Draw(t, "crash")), "s", someTraits.Draw(t, "traits"))
 			case 1:
-				table.RecordSoundBegin(now.Add(-time.Second), "s", someParts.Draw(t, "parts"))
+				table.RecordSoundBegin(now.Add(-time.Second), "s", someTraits.Draw(t, "traits"))
 			case 2:
-				table.Admit(now, someParts.Draw(t, "parts"), func(uint64) bool { return true })
+				table.Admit(now, someTraits.Draw(t, "traits"), func(uint64) bool { return true })
 			case 3:
 				table.Merge(now, tables[index.Draw(t, "from")].Since(now, 0))
 			}
--- /dev/null
+++ b/internal/quarantiner/traits.go
@@ -0,0 +1,32 @@
+package quarantiner
+
+import "slices"
+
+// Traits are what a request has that may crash servers.
+type Traits struct {
+	// Request identifies the request together with its repetitions; 0 if that is not
+	// known.
+	Request uint64
+	// Parts are the parts of its prompt that other requests may have, too.
+	Parts []uint64
+}
+
+// IsZero reports whether there are no traits.
+func (t Traits) IsZero() bool {
+	return t.Request == 0 && len(t.Parts) == 0
+}
+
+// has reports whether an id is among the traits.
+func (t Traits) has(id uint64) bool {
+	return t.Request == id && id != 0 || slices.Contains(t.Parts, id)
+}
+
+// each calls visit with every trait.
+func (t Traits) each(visit func(id uint64, isRequest bool)) {
+	if t.Request != 0 {
+		visit(t.Request, true)
+	}
+	for _, id := range t.Parts {
+		visit(id, false)
+	}
+}
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -64,16 +64,14 @@
 	at       time.Time
 }
 
-// Level returns the highest level of some parts.
-func (t *Table) Level(now time.Time, parts []uint64) Level {
+// Level returns the highest level of some traits.
+func (t *Table) Level(now time.Time, traits Traits) Level {
 	level := LevelClear
 	if len(t.parts) == 0 {
 		return level
 	}
 	levels := t.levels(now)
-	for _, id := range parts {
-		level = max(level, levels[id])
-	}
+	traits.each(func(id uint64, _ bool) { level = max(level, levels[id]) })
 	return level
 }
 
@@ -92,11 +90,11 @@
 // Admit decides on a new request. When the hold of its quarantined parts is over
 // and mayProbe holds for them, it lets the request through as a probe, which starts
 // another hold.
-func (t *Table) Admit(now time.Time, parts []uint64, mayProbe func(part uint64) bool) Admission {
-	admission := Admission{Level: t.Level(now, parts)}
-	t.recent.add(parts)
+func (t *Table) Admit(now time.Time, traits Traits, mayProbe func(part uint64) bool) Admission {
+	admission := Admission{Level: t.Level(now, traits)}
+	t.recent.add(traits)
 	if admission.Level == LevelSuspected {
-		admission.RetryAfter = t.holdBack(now, parts, t.levels(now))
+		admission.RetryAfter = t.holdBack(now, traits, t.levels(now))
 		admission.HeldBack = admission.RetryAfter > 0
 	}
 	if admission.Level != LevelQuarantined {
@@ -104,20 +102,20 @@
 	}
 	admission.Probe = true
 	levels := t.levels(now)
-	for _, id := range parts {
+	traits.each(func(id uint64, _ bool) {
 		if levels[id] != LevelQuarantined {
-			continue
+			return
 		}
 		p := t.parts[id]
 		held := HoldTime - now.Sub(p.lastEvidence())
 		admission.RetryAfter = max(admission.RetryAfter, held, minRetryAfter)
 		admission.Probe = admission.Probe && held <= 0 && p.probes < maxProbes && mayProbe(id)
-	}
-	for _, id := range parts {
+	})
+	traits.each(func(id uint64, _ bool) {
 		if p := t.parts[id]; levels[id] == LevelQuarantined {
 			t.recordAdmission(now, p, admission.Probe)
 		}
-	}
+	})
 	return admission
 }
 
@@ -136,8 +134,10 @@
 
 // Finding is a part that is not clear, with the figures for it.
 type Finding struct {
-	Part  uint64
-	Level Level
+	Part uint64
+	// IsRequest means that the part is a whole request.
+	IsRequest bool
+	Level     Level
 	// Crashes is the number of crashes under the part, and Uncleared how many of
 	// them no sound answer has cleared.
 	Crashes   int
@@ -153,7 +153,7 @@
 	}
 	for id, level := range t.levels(now) {
 		if p, known := t.parts[id]; known {
-			findings = append(findings, Finding{Part: id, Level: level, Crashes: len(p.crashes), Uncleared: p.unclearedCrashes(), Probes: p.probes})
+			findings = append(findings, Finding{Part: id, IsRequest: p.isRequest, Level: level, Crashes: len(p.crashes), Uncleared: p.unclearedCrashes(), Probes: p.probes})
 		}
 	}
 	return findings
