detector, warden: the parts of the quarantine that both stacks need

The detection of crashes moves out of the forwarder, and an instance's table with its lock and what is due to be told out of the follower, without a change of what they do, so that the sender can use both. The tests move with the code; that of the choice of the prober is parted in two.

--- a/internal/forwarder/crash.go
+++ b/internal/detector/detector.go
@@ -1,4 +1,7 @@
-package forwarder
+// Package detector tells servers that crashed under a request from other reasons why an
+// answer breaks off, and reports to a [Quarantine] which requests were at the crashed
+// ones.
+package detector
 
 import (
 	"errors"
@@ -11,12 +14,15 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/quarantiner"
+	"github.com/boragehead/boragehead/internal/registrar"
 )
 
 // Times of crash detection.
 const (
 	// crashMemory is how long a crash is remembered for requests that break late.
 	crashMemory = 10 * time.Second
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 350 * time.Millisecond
 	// maxPendingBreaks bounds the broken requests of a server that are kept until it
 	// is known whether the server has ended.
 	maxPendingBreaks = 256
@@ -26,17 +32,35 @@
 // it broke one off. A server that is about to end may still accept the first.
 var crashChecks = []time.Duration{0, 150 * time.Millisecond, 250 * time.Millisecond}
 
-// crashDetector tells servers that have ended from connections that were broken off
-// for other reasons: the former accept no connections any more. It reports the requests that the ended servers had to the quarantine.
-type crashDetector struct {
-	quarantine Quarantine
-	metrics    Metrics
+// Quarantine takes the evidence against requests and parts of prompts. Its methods must be
+// safe for concurrent use.
+type Quarantine interface {
+	// RecordCrash records that a server has ended while a request with some traits
+	// was there, which had not begun long before.
+	RecordCrash(at time.Time, server registrar.Server, traits quarantiner.Traits)
+	// RecordSoundBegin records that an answer on some traits has begun and that the
+	// server still worked SoundAfter later.
+	RecordSoundBegin(began time.Time, server registrar.Server, traits quarantiner.Traits)
+}
+
+// Metrics receives the detector's counters. It must be safe for concurrent use.
+type Metrics interface {
+	// Count adds one to a counter.
+	Count(name string)
+}
+
+// Detector tells servers that have ended from connections that were broken off for other
+// reasons: the former accept no connections any more. It reports the requests that the
+// ended servers had to the quarantine. It is safe for concurrent use.
+type Detector struct {
+	Quarantine Quarantine
+	Metrics    Metrics
 
 	mu sync.Mutex
 	// byStart holds the servers that broke off connections.
 	byStart map[quarantiner.CrashID]*possibleCrash
 	// inProgress holds the attempts at each start of a server.
-	inProgress map[quarantiner.CrashID]map[*answerBegin]bool
+	inProgress map[quarantiner.CrashID]map[*Begin]bool
 }
 
 // possibleCrash is a start of a server that broke off connections.
@@ -47,23 +71,23 @@
 	// longest is the longest time that one of the broken requests had been there.
 	longest time.Duration
 	// pending are the broken requests that wait for the confirmation.
-	pending []*answerBegin
+	pending []*Begin
 }
 
 // add records an attempt at a server until remove is called.
-func (d *crashDetector) add(b *answerBegin) {
+func (d *Detector) add(b *Begin) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.inProgress == nil {
-		d.inProgress = map[quarantiner.CrashID]map[*answerBegin]bool{}
+		d.inProgress = map[quarantiner.CrashID]map[*Begin]bool{}
 	}
 	if d.inProgress[b.crashID()] == nil {
-		d.inProgress[b.crashID()] = map[*answerBegin]bool{}
+		d.inProgress[b.crashID()] = map[*Begin]bool{}
 	}
 	d.inProgress[b.crashID()][b] = true
 }
 
-func (d *crashDetector) remove(b *answerBegin) {
+func (d *Detector) remove(b *Begin) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.inProgress[b.crashID()], b)
@@ -74,7 +98,7 @@
 
 // brokeOff reports whether a start of a server has lately broken off connections, and is
 // not known to go on.
-func (d *crashDetector) brokeOff(id quarantiner.CrashID) bool {
+func (d *Detector) brokeOff(id quarantiner.CrashID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	_, known := d.byStart[id]
@@ -83,7 +107,7 @@
 
 // report takes a request that a server broke off. The request may have crashed the
 // server if it is a suspect.
-func (d *crashDetector) report(now time.Time, broken *answerBegin, isSuspect bool) {
+func (d *Detector) report(now time.Time, broken *Begin, isSuspect bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	id := broken.crashID()
@@ -105,28 +129,28 @@
 	switch {
 	case !isSuspect || broken.sentAt.After(crash.brokeAt): // it found the server ended
 	case crash.confirmed:
-		d.quarantine.RecordCrash(crash.brokeAt, broken.server, broken.traits)
+		d.Quarantine.RecordCrash(crash.brokeAt, broken.server, broken.traits)
 	case len(crash.pending) < maxPendingBreaks:
 		crash.pending = append(crash.pending, broken)
 	}
 }
 
 // check finds out whether a server has ended.
-func (d *crashDetector) check(id quarantiner.CrashID, crash *possibleCrash, first *answerBegin) {
+func (d *Detector) check(id quarantiner.CrashID, crash *possibleCrash, first *Begin) {
 	sign := signOfEnd(first.server.Address)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if sign == signNone || sign == signResets && d.mayBeFull(id, crash) {
 		delete(d.byStart, id)
-		d.metrics.Count("server-connections-broken-by-live-servers")
+		d.Metrics.Count("server-connections-broken-by-live-servers")
 		return
 	}
-	d.metrics.Count("server-crashes")
+	d.Metrics.Count("server-crashes")
 	for _, broken := range crash.pending {
 		klog.InfoS("server crashed under a request that had not begun long before", "server", broken.server.Name,
-			"born", broken.server.StartedAtMillis, "request-hash", hashName(broken.traits.Request), "shared-parts", partNames(broken.traits.Parts), "requests", len(crash.pending),
+			"born", broken.server.StartedAtMillis, "request-hash", quarantiner.HashName(broken.traits.Request), "shared-parts", broken.traits.PartNames(), "requests", len(crash.pending),
 			"after", crash.brokeAt.Sub(broken.sentAt))
-		d.quarantine.RecordCrash(crash.brokeAt, broken.server, broken.traits)
+		d.Quarantine.RecordCrash(crash.brokeAt, broken.server, broken.traits)
 	}
 	crash.confirmed, crash.pending = true, nil
 }
@@ -138,7 +162,7 @@
 // mayBeFull reports whether a server that resets all new connections may have turned
 // away those beyond its limit: it did so at once, or goes on with other requests.
 // d.mu must be held.
-func (d *crashDetector) mayBeFull(id quarantiner.CrashID, crash *possibleCrash) bool {
+func (d *Detector) mayBeFull(id quarantiner.CrashID, crash *possibleCrash) bool {
 	for b := range d.inProgress[id] {
 		if b.sentAt.Before(crash.brokeAt) {
 			return true
@@ -170,7 +194,7 @@
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return signRefused
-		case connectionEndOf(err).isAbrupt():
+		case EndOf(err).IsAbrupt():
 			resets++
 		}
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -27,6 +27,7 @@
 	"github.com/boragehead/boragehead/internal/placer"
 	"github.com/boragehead/boragehead/internal/registrar"
 	"github.com/boragehead/boragehead/internal/replicator"
+	"github.com/boragehead/boragehead/internal/warden"
 )
 
 // Follower holds an entry instance's view of the fleet. It is safe for
@@ -42,7 +43,8 @@
 	startTime time.Time
 	// fetchRequested wakes the fetcher.
 	fetchRequested chan struct{}
-	quarantine     quarantine
+	// quarantine may be locked while mu is held, but not the other way round.
+	quarantine warden.Warden
 
 	mu sync.Mutex
 	// lifecycle is this instance's own state, as its beacons report it.
--- a/internal/follower/quarantine_test.go
+++ b/internal/follower/quarantine_test.go
@@ -33,26 +33,26 @@
 	now := time.Now()
 	f.receiveReports(now, north, server(registrar.StateReady, 1))
 	f.RecordCrash(now, server(registrar.StateReady, 1), quarantiner.Traits{Parts: []uint64{1}})
-	due, _ := f.quarantine.dueEvidence(now)
+	due, _ := f.quarantine.Due(now)
 	assert.Equal(t, len(due), 1)
-	due, revision := f.quarantine.dueEvidence(now)
+	due, revision := f.quarantine.Due(now)
 	assert.Equal(t, len(due), 1, "evidence that nobody has confirmed is not due any more")
-	f.quarantine.recordReported(revision)
-	due, _ = f.quarantine.dueEvidence(now)
+	f.quarantine.RecordReported(revision)
+	due, _ = f.quarantine.Due(now)
 	assert.Equal(t, len(due), 0)
 
 	f.applyQuarantine(now, north, controller.WatchAnswer{Quarantine: evidence(2, 3), QuarantineRevision: 9}, false)
 	assert.Equal(t, north.quarantineRevision, uint64(10))
 	time.Sleep(verdictLifetime)
 	assert.Equal(t, f.Level(quarantiner.Traits{Parts: []uint64{2}}), quarantiner.LevelQuarantined)
-	due, _ = f.quarantine.dueEvidence(now)
+	due, _ = f.quarantine.Due(now)
 	assert.Equal(t, len(due), 0, "evidence from a control instance is reported back")
 
 	f.applyQuarantine(now, north, controller.WatchAnswer{}, true)
-	due, revision = f.quarantine.dueEvidence(now)
+	due, revision = f.quarantine.Due(now)
 	assert.Equal(t, len(due), 2)
-	f.quarantine.recordReported(revision)
-	due, _ = f.quarantine.dueEvidence(now)
+	f.quarantine.RecordReported(revision)
+	due, _ = f.quarantine.Due(now)
 	assert.Equal(t, len(due), 0)
 }
 
@@ -62,7 +62,7 @@
 	now := time.Now()
 	f.receiveReports(now, north, server(registrar.StateLeaving, 2))
 	f.RecordCrash(now, server(registrar.StateLeaving, 2), quarantiner.Traits{Parts: []uint64{1}})
-	due, _ := f.quarantine.dueEvidence(now)
+	due, _ := f.quarantine.Due(now)
 	assert.Equal(t, len(due), 0)
 }
 
@@ -74,20 +74,12 @@
 	f.RecordSoundBegin(now.Add(-time.Second), server(registrar.StateReady, 1), quarantiner.Traits{Parts: []uint64{2}})
 	f.applyQuarantine(now, north, controller.WatchAnswer{Quarantine: evidence(2, 3)}, false)
 	assert.Equal(t, f.Level(quarantiner.Traits{Parts: []uint64{2}}), quarantiner.LevelClear)
-	due, _ := f.quarantine.dueEvidence(now)
+	due, _ := f.quarantine.Due(now)
 	assert.Equal(t, len(due), 1, "the others do not hear that the part is sound")
 }
 
-// TestOneInstanceProbes checks that all instances choose the same one to let a probe
-// through, whatever the order in which they know each other.
-func TestOneInstanceProbes(t *testing.T) {
-	counts := map[string]int{}
-	for part := range uint64(300) {
-		prober := proberOf(part, []string{"a", "b", "c"})
-		assert.Equal(t, proberOf(part, []string{"c", "a", "b"}), prober)
-		counts[prober]++
-	}
-	assert.Equal(t, len(counts), 3, "%v", counts)
+// TestQuarantinedPartIsNotProbedWithinHold refuses a part that other instances quarantined.
+func TestQuarantinedPartIsNotProbedWithinHold(t *testing.T) {
 	f, north, _ := newFollower(t)
 	f.applyQuarantine(time.Now(), north, controller.WatchAnswer{Quarantine: evidence(2, 3)}, false)
 	admission := f.Admit(quarantiner.Traits{Parts: []uint64{2}})
--- a/internal/forwarder/connectionend.go
+++ b/internal/forwarder/connectionend.go
@@ -1,51 +1,18 @@
 package forwarder
 
 import (
-	"context"
 	"errors"
-	"io"
-	"net"
-	"strconv"
-	"strings"
-	"syscall"
 
+	"github.com/boragehead/boragehead/internal/detector"
 	"github.com/boragehead/boragehead/internal/placer"
 )
 
-// connectionEnd is how a server's connection ended under an attempt.
-type connectionEnd string
-
-const (
-	// endedInOrder means that the connection did not end the attempt.
-	endedInOrder   connectionEnd = ""
-	endedByReset   connectionEnd = "reset"
-	endedByClose   connectionEnd = "closed"
-	endedByTimeout connectionEnd = "timeout"
-	endedOtherwise connectionEnd = "other"
-)
-
 // connectionEndOf returns how a connection ended, given the error of the attempt.
-func connectionEndOf(err error) connectionEnd {
-	var timeout net.Error
-	switch {
-	case err == nil:
-		return endedInOrder
-	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, context.Canceled):
-		return endedByTimeout
-	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
-		return endedByReset
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, errEndedWithinEvent), errors.Is(err, errEndedUnframed):
-		return endedByClose
-	case strings.Contains(err.Error(), "server closed idle connection"): // net/http does not export this error
-		return endedByClose
+func connectionEndOf(err error) detector.End {
+	if errors.Is(err, errEndedWithinEvent) || errors.Is(err, errEndedUnframed) {
+		return detector.EndedByClose
 	}
-	return endedOtherwise
-}
-
-// isAbrupt reports whether the server has closed or reset the connection before
-// its response was complete.
-func (e connectionEnd) isAbrupt() bool {
-	return e == endedByReset || e == endedByClose
+	return detector.EndOf(err)
 }
 
 // sharedParts returns the ids of the parts of a prompt that other requests may
@@ -61,21 +28,12 @@
 	return parts
 }
 
-// partNames returns the ids of parts as callers write them, in hexadecimal.
-func partNames(parts []uint64) string {
-	names := make([]string, 0, len(parts))
-	for _, part := range parts {
-		names = append(names, strconv.FormatUint(part, 16))
-	}
-	return strings.Join(names, ",")
-}
-
 // reportConnectionEnd records how the server's connection ended under an attempt,
 // and counts the abrupt ends by their kind and by whether the response had begun.
 func (f *Forwarder) reportConnectionEnd(out *callerResponse) {
 	end := connectionEndOf(out.breakCause)
 	out.call.record.connectionEnd = end
-	if !end.isAbrupt() {
+	if !end.IsAbrupt() {
 		return
 	}
 	progress := "before-first-event"
--- a/internal/forwarder/connectionend_test.go
+++ b/internal/forwarder/connectionend_test.go
@@ -11,30 +11,32 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/boragehead/boragehead/internal/detector"
 	"github.com/boragehead/boragehead/internal/placer"
+	"github.com/boragehead/boragehead/internal/quarantiner"
 )
 
 func TestConnectionEnds(t *testing.T) {
 	tests := []struct {
 		err    error
-		want   connectionEnd
+		want   detector.End
 		abrupt bool
 	}{
-		{nil, endedInOrder, false},
-		{fmt.Errorf("read: %w", syscall.ECONNRESET), endedByReset, true},
-		{syscall.EPIPE, endedByReset, true},
-		{io.EOF, endedByClose, true},
-		{fmt.Errorf("body: %w", io.ErrUnexpectedEOF), endedByClose, true},
-		{errEndedWithinEvent, endedByClose, true},
-		{errors.New("http: server closed idle connection"), endedByClose, true},
-		{os.ErrDeadlineExceeded, endedByTimeout, false},
-		{syscall.ETIMEDOUT, endedByTimeout, false},
-		{context.Canceled, endedByTimeout, false},
-		{errors.New("malformed HTTP response"), endedOtherwise, false},
+		{nil, detector.EndedInOrder, false},
+		{fmt.Errorf("read: %w", syscall.ECONNRESET), detector.EndedByReset, true},
+		{syscall.EPIPE, detector.EndedByReset, true},
+		{io.EOF, detector.EndedByClose, true},
+		{fmt.Errorf("body: %w", io.ErrUnexpectedEOF), detector.EndedByClose, true},
+		{errEndedWithinEvent, detector.EndedByClose, true},
+		{errors.New("http: server closed idle connection"), detector.EndedByClose, true},
+		{os.ErrDeadlineExceeded, detector.EndedByTimeout, false},
+		{syscall.ETIMEDOUT, detector.EndedByTimeout, false},
+		{context.Canceled, detector.EndedByTimeout, false},
+		{errors.New("malformed HTTP response"), detector.EndedOtherwise, false},
 	}
 	for _, test := range tests {
 		assert.Equal(t, connectionEndOf(test.err), test.want, "%v", test.err)
-		assert.Equal(t, connectionEndOf(test.err).isAbrupt(), test.abrupt, "%v", test.err)
+		assert.Equal(t, connectionEndOf(test.err).IsAbrupt(), test.abrupt, "%v", test.err)
 	}
 }
 
@@ -43,6 +45,6 @@
 func TestLastPartIsNotShared(t *testing.T) {
 	parts := []placer.PromptPart{{ID: 0xab}, {ID: 2}, {ID: 3}}
 	assert.DeepEqual(t, sharedParts(placer.Work{Parts: parts}), []uint64{0xab, 2})
-	assert.Equal(t, partNames(sharedParts(placer.Work{Parts: parts})), "ab,2")
+	assert.Equal(t, quarantiner.Traits{Parts: sharedParts(placer.Work{Parts: parts})}.PartNames(), "ab,2")
 	assert.Equal(t, len(sharedParts(placer.Work{Parts: parts[:1]})), 0)
 }
--- a/internal/forwarder/fingerprint.go
+++ b/internal/forwarder/fingerprint.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -33,8 +32,3 @@
 	_, _ = digest.Write(length[:]) // never fails
 	_, _ = digest.Write(field)
 }
-
-// hashName returns a hash as log lines show it, in hexadecimal.
-func hashName(hash uint64) string {
-	return strconv.FormatUint(hash, 16)
-}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/boragehead/boragehead/internal/definer"
+	"github.com/boragehead/boragehead/internal/detector"
 	"github.com/boragehead/boragehead/internal/logger"
 	"github.com/boragehead/boragehead/internal/placer"
 	"github.com/boragehead/boragehead/internal/quarantiner"
@@ -91,7 +92,7 @@
 	// level is the highest that the request and its parts had in the quarantine.
 	level quarantiner.Level
 	// connectionEnd is how the server's connection ended in the last attempt.
-	connectionEnd connectionEnd
+	connectionEnd detector.End
 	// note describes what went wrong in the last attempt.
 	note   string
 	status int
@@ -180,7 +181,8 @@
 	serverTransport *http.Transport
 	relayTransport  *http.Transport
 	retryBudgets    serviceBudgets
-	crashes         crashDetector
+	quarantine      Quarantine
+	crashes         detector.Detector
 	newestWaits     newestWaits
 	bodyMemory      byteBudget
 	responseMemory  reserver.Budget
@@ -211,7 +213,7 @@
 		bodyMemory:      byteBudget{available: maxTotalBodyBytes},
 		responseMemory:  reserver.Budget{Bytes: maxTotalResponseBytes},
 		retryBudgets:    serviceBudgets{limit: retryLimit},
-		crashes:         crashDetector{metrics: metrics},
+		crashes:         detector.Detector{Metrics: metrics},
 	}
 }
 
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -14,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/boragehead/boragehead/internal/definer"
+	"github.com/boragehead/boragehead/internal/detector"
 	"github.com/boragehead/boragehead/internal/measurer"
 	"github.com/boragehead/boragehead/internal/quarantiner"
 	"github.com/boragehead/boragehead/internal/registrar"
@@ -152,7 +152,7 @@
 	}{
 		{"server ends before the first event", func(http.ResponseWriter, *http.Request) { end() }, 1, 0},
 		{"server ends soon after the first event", stream(100*time.Millisecond, end), 1, 0},
-		{"server ends long after the first event", stream(soundAfter+300*time.Millisecond, end), 0, 1},
+		{"server ends long after the first event", stream(detector.SoundAfter+300*time.Millisecond, end), 0, 1},
 		{"server goes on after a reset", func(http.ResponseWriter, *http.Request) { abort() }, 0, 0},
 		{"server goes on after breaking off a stream", stream(100*time.Millisecond, abort), 0, 0},
 		{"answered", respond(200, "whole"), 0, 1},
@@ -167,7 +167,7 @@
 			t.Cleanup(server.Close)
 			g.fleet.servers = []registrar.Server{{Name: "s", Address: netip.MustParseAddrPort(server.Listener.Addr().String())}}
 			_, _, _ = g.do("POST", "/a", "x", "Parts", "1 2") // how the request ends is tested elsewhere
-			time.Sleep(soundAfter + 300*time.Millisecond)
+			time.Sleep(detector.SoundAfter + 300*time.Millisecond)
 			crashes, begins := q.counts()
 			assert.Equal(t, crashes, test.crashes)
 			assert.Equal(t, begins, test.begins)
@@ -175,71 +175,6 @@
 	}
 }
 
-// TestSignOfEnd tries addresses where no server answers any more, and such where
-// one may.
-func TestSignOfEnd(t *testing.T) {
-	listen := func(handle func(net.Conn)) netip.AddrPort {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		t.Cleanup(func() { _ = listener.Close() })
-		go func() {
-			for {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				handle(conn)
-			}
-		}()
-		return netip.MustParseAddrPort(listener.Addr().String())
-	}
-	var mu sync.Mutex
-	var accepted []net.Conn
-	keep := func(conn net.Conn) {
-		mu.Lock()
-		defer mu.Unlock()
-		accepted = append(accepted, conn)
-	}
-	t.Cleanup(func() {
-		mu.Lock()
-		defer mu.Unlock()
-		for _, conn := range accepted {
-			_ = conn.Close()
-		}
-	})
-	reset := func(conn net.Conn) {
-		_ = conn.(*net.TCPConn).SetLinger(0)
-		_ = conn.Close()
-	}
-	full := true
-	resetFirst := func(conn net.Conn) {
-		if full {
-			full = false
-			reset(conn)
-			return
-		}
-		keep(conn)
-	}
-	nobody, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	assert.NilError(t, nobody.Close())
-	tests := []struct {
-		name    string
-		address netip.AddrPort
-		want    endSign
-	}{
-		{"nobody listens", netip.MustParseAddrPort(nobody.Addr().String()), signRefused},
-		{"all connections are reset", listen(reset), signResets},
-		{"connections stay open", listen(keep), signNone},
-		{"a full server resets a connection", listen(resetFirst), signNone},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			assert.Equal(t, signOfEnd(test.address), test.want)
-		})
-	}
-}
-
 // TestClosedIdleConnectionIsNoCrash sends a request on a kept connection that the
 // server closes without an answer while it goes on serving others.
 func TestClosedIdleConnectionIsNoCrash(t *testing.T) {
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -6,6 +6,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/logger"
+	"github.com/boragehead/boragehead/internal/quarantiner"
 )
 
 // reportCall updates the metrics for a finished call and writes its log line: the
@@ -64,6 +65,6 @@
 		"predicted", record.predictedWait, "cached", record.cachedTokens,
 		"prompt", call.Work.Prompt, "expected", call.Work.Expected, "first", record.timeToFirstByte, "took", took, "left", left,
 		"framing", record.received.framing, "bytes", record.received.bytes, "events", record.received.events,
-		"ended", record.connectionEnd, "level", record.level, "request-hash", hashName(call.fingerprint), "shared-parts", partNames(sharedParts(call.Work)), "duplicates", record.received.duplicates, "unfinished", record.received.unfinishedBytes,
+		"ended", record.connectionEnd, "level", record.level, "request-hash", quarantiner.HashName(call.fingerprint), "shared-parts", call.traits().PartNames(), "duplicates", record.received.duplicates, "unfinished", record.received.unfinishedBytes,
 		"retry-after", retryAfter, "left-out", leftOut)
 }
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -88,11 +88,12 @@
 		f.fleet.RecordFirstEvent(id)
 		f.metrics.Observe("server-first-byte", time.Since(started))
 	}
-	out.breakCause, out.onBegin = nil, nil
-	begin := f.observeBegin(out, *decision.Server)
+	out.breakCause = nil
+	begin := f.crashes.Observe(*decision.Server, out.call.traits())
+	out.onBegin = func() { f.crashes.NoteBegin(begin) }
 	result, outcome := f.roundTrip(ctx, out, id, decision)
 	f.reportConnectionEnd(out)
-	begin.finish(&f.crashes, result, out.call.record)
+	f.crashes.Finish(begin, result == resultAnswered, out.call.record.received.framing == framingClose, out.call.record.connectionEnd)
 	if ctx.Err() != nil && result != resultAnswered {
 		outcome = placer.OutcomeAbandoned
 	}
--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/boragehead/boragehead/internal/definer"
+	"github.com/boragehead/boragehead/internal/detector"
 )
 
 // TestUnframedAnswerIsNotSound guards against clearing a culprit: a server that
@@ -20,7 +21,7 @@
 	status, _, err := g.do("POST", "/a", "x", "Parts", "1 2")
 	assert.NilError(t, err)
 	assert.Equal(t, status, 200)
-	time.Sleep(soundAfter + 300*time.Millisecond)
+	time.Sleep(detector.SoundAfter + 300*time.Millisecond)
 	_, begins := q.counts()
 	assert.Equal(t, begins, 0)
 }
--- a/internal/quarantiner/traits.go
+++ b/internal/quarantiner/traits.go
@@ -1,6 +1,10 @@
 package quarantiner
 
-import "slices"
+import (
+	"slices"
+	"strconv"
+	"strings"
+)
 
 // Traits are what a request has that may crash servers.
 type Traits struct {
@@ -30,3 +34,18 @@
 		visit(id, false)
 	}
 }
+
+// PartNames returns the ids of the parts as callers write them, in hexadecimal.
+func (t Traits) PartNames() string {
+	names := make([]string, 0, len(t.Parts))
+	for _, part := range t.Parts {
+		names = append(names, HashName(part))
+	}
+	return strings.Join(names, ",")
+}
+
+// HashName returns the hash of a request or the id of a part as log lines show it, in
+// hexadecimal.
+func HashName(hash uint64) string {
+	return strconv.FormatUint(hash, 16)
+}
