sender, runner: the own interface quarantines requests that come again whole

Callers of the own interface saw sound requests break off each time one request came again and ended a backend server: nothing was checked there, each retry and resume carried it to the next server.

The sender asks the same table as the forwarder before the first attempt, sends a suspected request once (no retry, no resume, and none after a relay that may have run it), and reports crashes and sound begins from each attempt at a server, the resumed ones too. It is refused with 503 quarantined or held-back, not-run, before anything is sent; claims and tokens are given back as for other refusals.

--- a/internal/exchanger/refusal.go
+++ b/internal/exchanger/refusal.go
@@ -67,6 +67,8 @@
 	CodeIdempotencyMismatch   Code = "idempotency-mismatch"
 	CodeClaimsUnavailable     Code = "claims-unavailable"
 	CodeStopping              Code = "stopping"
+	CodeQuarantined           Code = "quarantined"
+	CodeHeldBack              Code = "held-back"
 	CodeCancelled             Code = "cancelled"
 )
 
--- a/internal/forwarder/fingerprint.go
+++ b/internal/forwarder/fingerprint.go
@@ -1,10 +1,6 @@
 package forwarder
 
-import (
-	"encoding/binary"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/boragehead/boragehead/internal/quarantiner"
 
 // fingerprint identifies what a caller asks for: two calls have the same one if their
 // method, host, path with query, workspace and body are the same, whatever ids, keys and
@@ -12,23 +8,9 @@
 //
 // Both instances of a relay find the same one, since a relay changes none of this.
 func fingerprint(call *Call) uint64 {
-	digest := xxhash.New()
 	workspace := ""
 	if call.Workspace != nil {
 		workspace = call.Workspace.Name
 	}
-	request := call.Request
-	for _, field := range []string{request.Method, request.Host, request.URL.RequestURI(), workspace} {
-		writeField(digest, []byte(field))
-	}
-	writeField(digest, call.Body)
-	return digest.Sum64()
-}
-
-// writeField adds a field with its length, so that no two lists of fields are the same.
-func writeField(digest *xxhash.Digest, field []byte) {
-	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
-	_, _ = digest.Write(length[:]) // never fails
-	_, _ = digest.Write(field)
+	return quarantiner.HashRequest(call.Body, call.Request.Method, call.Request.Host, call.Request.URL.RequestURI(), workspace)
 }
--- a/internal/quarantiner/exchange.go
+++ b/internal/quarantiner/exchange.go
@@ -1,6 +1,11 @@
 package quarantiner
 
-import "time"
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Since returns the parts that changed after a revision, in no particular order.
 func (t *Table) Since(now time.Time, revision uint64) []Part {
@@ -41,6 +46,31 @@
 	return exported
 }
 
+// Digest returns a hash of what the table knows. Tables that have exchanged all have the
+// same one, unless one has dropped what is too old or too much.
+func (t *Table) Digest() uint64 {
+	digest := uint64(0)
+	for id, p := range t.parts {
+		digest ^= hashState(id, uint64(p.probes), p.wasSound, false)
+		for crashID, c := range p.crashes {
+			digest ^= hashState(id, uint64(crashID), c.cleared, c.contrasted)
+		}
+	}
+	return digest
+}
+
+func hashState(a, b uint64, flags ...bool) uint64 {
+	var text [18]byte
+	binary.BigEndian.PutUint64(text[:], a)
+	binary.BigEndian.PutUint64(text[8:], b)
+	for i, flag := range flags {
+		if flag {
+			text[16+i] = 1
+		}
+	}
+	return xxhash.Sum64(text[:])
+}
+
 // Merge adds what another table knows. It reports whether that changed anything
 // that others must be told.
 func (t *Table) Merge(now time.Time, parts []Part) bool {
--- a/internal/quarantiner/traits.go
+++ b/internal/quarantiner/traits.go
@@ -1,9 +1,12 @@
 package quarantiner
 
 import (
+	"encoding/binary"
 	"slices"
 	"strconv"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Traits are what a request has that may crash servers.
@@ -49,3 +52,22 @@
 func HashName(hash uint64) string {
 	return strconv.FormatUint(hash, 16)
 }
+
+// HashRequest returns the hash of what makes two requests the same one: their fields, such
+// as method and path, and the body.
+func HashRequest(body []byte, fields ...string) uint64 {
+	digest := xxhash.New()
+	for _, field := range fields {
+		writeField(digest, []byte(field))
+	}
+	writeField(digest, body)
+	return digest.Sum64()
+}
+
+// writeField adds a field with its length, so that no two lists of fields are the same.
+func writeField(digest *xxhash.Digest, field []byte) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+	_, _ = digest.Write(length[:]) // never fails
+	_, _ = digest.Write(field)
+}
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -91,6 +91,9 @@
 // CountRetry implements sender.Counters.
 func (r *Reporter) CountRetry() { r.increment("requests.retried") }
 
+// Count implements detector.Metrics.
+func (r *Reporter) Count(name string) { r.increment(name) }
+
 // CountResume implements sender.Counters.
 func (r *Reporter) CountResume() { r.increment("streams.resumed") }
 
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -128,6 +128,7 @@
 	lending := lender.New(p)
 	routing := router.New(g.settings.Region, g.follower, g.membership, maxBody, seed)
 	sending := sender.New(g.dispatcher, p, g.reporter, routing, seed)
+	sending.UseQuarantine(g.membership.evidence, g.reporter)
 	g.router, g.sender = routing, sending
 	g.grants = newGrantSyncer(g.settings, g.client, g.follower, lending)
 
@@ -170,6 +171,7 @@
 	keeperRoles := []certifier.Role{certifier.RoleKeeper}
 	g.calls = &messenger.Mux{}
 	messenger.Handle(g.calls, methodGossip, entryRoles, g.membership.handleGossip)
+	messenger.Handle(g.calls, methodEvidence, entryRoles, g.membership.evidence.serve)
 	messenger.Handle(g.calls, keeper.MethodWatch, entryRoles, g.configWatcher.serve)
 	messenger.Handle(g.calls, keeper.MethodBurn, keeperRoles,
 		func(context.Context, certifier.Identity, keeper.BurnQuery) (reporter.Counts, error) {
@@ -205,6 +207,7 @@
 	actors := &conductor.Actors{}
 	actors.Add("dispatcher", g.dispatcher.Run)
 	actors.Add("gossip", g.membership.run)
+	actors.Add("evidence", g.membership.evidence.run)
 	actors.Add("ledger", g.grants.run)
 	actors.Add("configurator", g.applyConfigurations)
 	actors.Add("sweeper", g.sweepOpenRequests)
--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -16,6 +16,7 @@
 	"github.com/boragehead/boragehead/internal/granter"
 	"github.com/boragehead/boragehead/internal/loader"
 	"github.com/boragehead/boragehead/internal/messenger"
+	"github.com/boragehead/boragehead/internal/quarantiner"
 	"github.com/boragehead/boragehead/internal/watcher"
 )
 
@@ -31,6 +32,8 @@
 	Self    gossiper.Entry              `cbor:"e"`
 	Digest  map[string]gossiper.Version `cbor:"d"`
 	Revoked []string                    `cbor:"w,omitempty"`
+	// Evidence is the digest of the caller's table of requests that crash servers.
+	Evidence uint64 `cbor:"q,omitempty"`
 }
 
 // gossipAnswer returns the entries that are newer than the caller's digest, the
@@ -38,6 +41,10 @@
 type gossipAnswer struct {
 	Entries []gossiper.Entry `cbor:"e"`
 	Revoked []string         `cbor:"w,omitempty"`
+	// Evidence is the digest of the answering instance's table of requests that crash
+	// servers. Requests is that table if the caller's digest differs.
+	Evidence uint64             `cbor:"q,omitempty"`
+	Requests []quarantiner.Part `cbor:"r,omitempty"`
 }
 
 // membership holds what one entry instance knows of the others, and keeps it
@@ -47,6 +54,7 @@
 	client     *messenger.Client
 	follower   *watcher.Follower
 	dispatcher *dispatcher.Dispatcher
+	evidence   *evidenceSharer
 
 	mu    sync.Mutex
 	table *gossiper.Table
@@ -62,10 +70,12 @@
 		CallerAddress: settings.DirectoryAddress(), CallerTLS: settings.CallerTLS != nil, PeerAddress: settings.PeerAddress,
 		Incarnation: now.UnixNano(), State: gossiper.StateStarting,
 	}
-	return &membership{
+	m := &membership{
 		settings: settings, client: client, follower: follower, dispatcher: d,
 		table: gossiper.NewTable(self, uint64(now.UnixNano())), lastKeeperless: map[string]time.Time{},
 	}
+	m.evidence = &evidenceSharer{name: settings.Name, client: client, membership: m, dispatcher: d}
+	return m
 }
 
 // run starts a gossip round every gossiper.RoundInterval until ctx ends.
@@ -167,7 +177,7 @@
 	m.mu.Lock()
 	query := gossipQuery{Self: m.table.SelfEntry(), Digest: m.table.Digest(now)}
 	m.mu.Unlock()
-	query.Revoked = m.follower.Revoked()
+	query.Revoked, query.Evidence = m.follower.Revoked(), m.evidence.Digest()
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
 	answer, err := messenger.Call[gossipQuery, gossipAnswer](ctx, m.client, to, methodGossip, query)
@@ -177,6 +187,7 @@
 		return
 	}
 	m.merge(answer.Entries, answer.Revoked)
+	m.evidence.reconcile(ctx, to, answer.Evidence, answer.Requests)
 }
 
 // merge adds the entries and revocations that another instance sent, and hears of
@@ -205,9 +216,14 @@
 		return gossipAnswer{}, trace.AccessDenied("%q may not speak for %q", from.Name, query.Self.Name)
 	}
 	m.merge([]gossiper.Entry{query.Self}, query.Revoked)
+	answer := gossipAnswer{Revoked: m.follower.Revoked(), Evidence: m.evidence.Digest()}
+	if answer.Evidence != query.Evidence {
+		answer.Requests = m.evidence.All(time.Now())
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return gossipAnswer{Entries: m.table.NewerThan(time.Now(), query.Digest), Revoked: m.follower.Revoked()}, nil
+	answer.Entries = m.table.NewerThan(time.Now(), query.Digest)
+	return answer, nil
 }
 
 // recordContact records an answer to a watch as contact with the region of the
--- a/internal/sender/attempt.go
+++ b/internal/sender/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -18,6 +19,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/boragehead/boragehead/internal/detector"
 	"github.com/boragehead/boragehead/internal/exchanger"
 	"github.com/boragehead/boragehead/internal/reserver"
 	"github.com/boragehead/boragehead/internal/tabler"
@@ -47,6 +49,8 @@
 	// onFirstByte, if set, is called before the first byte of a stream is
 	// written to the caller.
 	onFirstByte func()
+	// observe, if set, starts to observe how an attempt begins at the server.
+	observe func() *detector.Begin
 }
 
 // newTransport returns a transport with or without connection reuse.
@@ -77,7 +81,7 @@
 func (s *Sender) sendWithResume(ctx context.Context, x *exchanger.Exchange, t target) (attemptResult, int64) {
 	stream := &streamCopier{x: x, counters: s.counters, onFirstByte: t.onFirstByte, isRelay: t.isRelay}
 	for resumes := range maxResumes + 1 {
-		result := s.roundTrip(ctx, x, t, stream)
+		result := s.observedRoundTrip(ctx, x, t, stream)
 		resumable := result == attemptPartial && stream.canResume() && ctx.Err() == nil && x.ClaimID == "" && !t.isRelay
 		if !resumable || resumes == maxResumes {
 			if result == attemptPartial {
@@ -85,6 +89,10 @@
 			}
 			return result, stream.tokens
 		}
+		if !s.mayRunAgain(x) {
+			stream.writeError(cutStreamRefusal(ctx))
+			return result, stream.tokens
+		}
 		if refusal := s.recheckResume(ctx, x); refusal != nil {
 			stream.writeError(refusal)
 			return result, stream.tokens
@@ -104,6 +112,20 @@
 	return refusal
 }
 
+// observedRoundTrip makes a round trip and reports to the quarantine how it begins and
+// ends.
+func (s *Sender) observedRoundTrip(ctx context.Context, x *exchanger.Exchange, t target, stream *streamCopier) attemptResult {
+	if t.observe == nil {
+		return s.roundTrip(ctx, x, t, stream)
+	}
+	begin := t.observe()
+	stream.onBegin = func() { s.crashes.NoteBegin(begin) }
+	stream.breakCause = nil
+	result := s.roundTrip(ctx, x, t, stream)
+	s.crashes.Finish(begin, result == attemptAnswered, false, detector.EndOf(stream.breakCause))
+	return result
+}
+
 // roundTrip sends the request once, from the stream's last event if there is one,
 // and copies the response to the caller.
 func (s *Sender) roundTrip(ctx context.Context, x *exchanger.Exchange, t target, stream *streamCopier) attemptResult {
@@ -118,6 +140,9 @@
 	response, err := t.transport.RoundTrip(request)
 	if err != nil {
 		klog.V(2).InfoS("attempt failed", "id", x.ID, "target", t.baseURL, "connected", connected.Load(), "err", err)
+		if connected.Load() {
+			stream.breakCause = err
+		}
 		return stream.failedAttempt(connected.Load())
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -144,7 +169,7 @@
 	if isStream(response) {
 		return stream.copyEvents(response, cancel)
 	}
-	return s.copyBuffered(x, response)
+	return s.copyBuffered(x, response, stream)
 }
 
 // newRequest returns the request to a backend server or, with the relay prefix
@@ -223,7 +248,7 @@
 
 // copyBuffered reads a response to its end before it writes any of it to the
 // caller, so that the caller never gets a part of it.
-func (s *Sender) copyBuffered(x *exchanger.Exchange, response *http.Response) attemptResult {
+func (s *Sender) copyBuffered(x *exchanger.Exchange, response *http.Response, stream *streamCopier) attemptResult {
 	memory := reserver.Reservation{Budget: &s.responseMemory}
 	defer memory.Shrink(0)
 	body, err := readJoined(response.Body, &memory)
@@ -234,8 +259,12 @@
 		return attemptLacksMemory
 	}
 	if err != nil || !isComplete(response, body) {
+		stream.breakCause = cmp.Or(err, io.ErrUnexpectedEOF)
 		return attemptUnknown
 	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		stream.noteBegin()
+	}
 	x.Result.FirstByte = time.Now()
 	x.Result.Status = response.StatusCode
 	recordUsage(x, response.Header, body)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/boragehead/boragehead/internal/authenticator"
+	"github.com/boragehead/boragehead/internal/detector"
 	"github.com/boragehead/boragehead/internal/dispatcher"
 	"github.com/boragehead/boragehead/internal/exchanger"
 	"github.com/boragehead/boragehead/internal/picker"
@@ -82,6 +83,9 @@
 	singleUse http.RoundTripper
 	// responseMemory is for responses that are not streamed.
 	responseMemory reserver.Budget
+	// quarantine is nil unless UseQuarantine was called.
+	quarantine Quarantine
+	crashes    detector.Detector
 
 	mu          sync.Mutex // guards the fields below
 	retryBudget *retrier.Budget
@@ -148,6 +152,9 @@
 func (s *Sender) handle(ctx context.Context, x *exchanger.Exchange) *exchanger.Refusal {
 	ctx, cancel := context.WithDeadline(ctx, x.Deadline)
 	defer cancel()
+	if refusal := s.checkQuarantine(x); refusal != nil {
+		return refusal
+	}
 	var tried []string
 	ran := false
 	for attempt := range maxAttempts {
@@ -173,6 +180,9 @@
 		case result == attemptUnknown && x.ClaimID != "":
 			return s.serverFailedRefusal(ran)
 		}
+		if ran && !s.mayRunAgain(x) {
+			return s.serverFailedRefusal(ran)
+		}
 		if x.Local {
 			tried = append(tried, x.Result.Server)
 		}
@@ -203,6 +213,7 @@
 	started := time.Now()
 	target := target{baseURL: "http://" + assignment.Server.Address.String(), transport: s.transport(x)}
 	target.onFirstByte = func() { s.servers.FirstToken(ctx, assignment.ID) }
+	target.observe = func() *detector.Begin { return s.observe(x, assignment) }
 	result, tokens := s.sendWithResume(ctx, x, target)
 	done := dispatcher.Done{ID: assignment.ID, Tokens: tokens, Elapsed: time.Since(started)}
 	done.Unused = ctx.Err() != nil && result != attemptAnswered || result == attemptLacksMemory
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -51,6 +53,12 @@
 	unnumberedEvents bool
 	// tokens is the number of events written, taken as one token each.
 	tokens int64
+	// onBegin, unless nil, is called once in each attempt, at its first event or when a
+	// response that is not a stream has been read.
+	onBegin func()
+	// breakCause is the error with which the server's connection ended under the last
+	// attempt; nil if it did not.
+	breakCause error
 }
 
 // event is one server-sent event. raw is its text with the blank line at its end.
@@ -113,6 +121,7 @@
 		if !forward {
 			continue
 		}
+		s.noteBegin()
 		if err := s.writeEvent(response, ev); err != nil {
 			s.lastEvent = "" // the caller has disconnected: do not resume
 			return attemptPartial
@@ -121,9 +130,18 @@
 			return attemptAnswered
 		}
 	}
+	s.breakCause = cmp.Or(scanner.Err(), io.ErrUnexpectedEOF)
 	return s.failedAttempt(true)
 }
 
+// noteBegin records that the answer of this attempt has begun.
+func (s *streamCopier) noteBegin() {
+	if s.onBegin != nil {
+		s.onBegin()
+		s.onBegin = nil
+	}
+}
+
 // accept checks an event by its id, "REQUEST/NUMBER". forward is false if the event
 // is to be dropped, valid is false if events are missing before it or its number
 // is malformed. Events without an id are always forwarded.
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -96,6 +96,13 @@
 	w.table.Merge(now, parts)
 }
 
+// Digest returns a hash of what is known; see quarantiner.Table.Digest.
+func (w *Warden) Digest() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.table.Digest()
+}
+
 // All returns all that is known.
 func (w *Warden) All(now time.Time) []quarantiner.Part {
 	w.mu.Lock()
