controller: exchange the quarantine only where it differs

With whole requests in it, the table that control instances exchange every two seconds has an entry for each request that was about to begin at a crashed server: up to 2,048 entries of about 50 bytes, both ways, for ten minutes. They now compare digests of their tables and send a table only to one that was last seen with another.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -84,6 +84,9 @@
 	quarantine        quarantiner.Table
 	pendingEvidence   []quarantiner.Part
 	publishedEvidence uint64
+	// quarantineDigests holds the last digest of the other control instances' tables, by
+	// address.
+	quarantineDigests map[string]uint64
 	// pendingForwards are announcements not yet sent to the other control
 	// instances.
 	pendingForwards []registrar.Server
@@ -98,7 +101,7 @@
 func New(settings loader.Control, decode Decoder, client *messenger.Client) (*Controller, error) {
 	c := &Controller{
 		settings: settings, decode: decode, client: client, machine: &stateMachine{},
-		epoch: time.Now().UnixNano(), changed: make(chan struct{}),
+		epoch: time.Now().UnixNano(), changed: make(chan struct{}), quarantineDigests: map[string]uint64{},
 	}
 	c.peers.seeds = settings.SeedPeers()
 	if err := c.open(); err != nil {
--- a/internal/controller/quarantine_test.go
+++ b/internal/controller/quarantine_test.go
@@ -111,3 +111,19 @@
 	limit := 3 + int(time.Since(began)/evidenceInterval)
 	assert.Assert(t, answers <= limit, "%d answers in %s", answers, time.Since(began))
 }
+
+// TestQuarantineIsExchangedUntilBothHaveIt guards against control instances that send each
+// other the whole table every two seconds, and against one that lacks what the other has.
+func TestQuarantineIsExchangedUntilBothHaveIt(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	a, b := f.controls[0], f.controls[1]
+	assert.Assert(t, a.mergeEvidence(crashesOfPart(7)))
+	f.eventually("both have the evidence", func() bool { return knownLevel(f, b, 7) == quarantiner.LevelQuarantined })
+	digest := b.localTables(0).QuarantineDigest
+	assert.Equal(t, digest, a.localTables(0).QuarantineDigest)
+	assert.Equal(t, len(a.localTables(digest).Quarantine), 0, "a known table is sent again")
+	assert.Assert(t, len(a.localTables(0).Quarantine) > 0)
+	assert.Assert(t, b.mergeEvidence(crashesOfPart(8)))
+	assert.Assert(t, len(b.localTables(a.localTables(0).QuarantineDigest).Quarantine) > 0)
+}
--- a/internal/controller/servers.go
+++ b/internal/controller/servers.go
@@ -47,6 +47,9 @@
 	// Controls are peer addresses, the sender's first.
 	Controls   []string           `cbor:"c"`
 	Quarantine []quarantiner.Part `cbor:"q,omitempty"`
+	// QuarantineDigest is that of the sender's table; see quarantiner.Table.Digest. The
+	// table itself is left out if the other side is known to have the same.
+	QuarantineDigest uint64 `cbor:"h,omitempty"`
 }
 
 // Announce records the announcement of a backend server. It returns
@@ -260,27 +263,38 @@
 
 // exchange exchanges tables with one control instance. A failure is only logged.
 func (c *Controller) exchange(ctx context.Context, address string) {
-	answer, err := call[exchangedTables, exchangedTables](ctx, c, address, methodExchange, c.localTables())
+	c.mu.Lock()
+	digest := c.quarantineDigests[address]
+	c.mu.Unlock()
+	answer, err := call[exchangedTables, exchangedTables](ctx, c, address, methodExchange, c.localTables(digest))
 	if err != nil {
 		klog.V(2).InfoS("cannot exchange tables with a control instance", "with", address, "err", logger.ErrorText(err))
 		return
 	}
 	c.mergeTables(answer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quarantineDigests[address] = answer.QuarantineDigest
 }
 
 func (c *Controller) serveExchange(_ context.Context, _ certifier.Identity, query exchangedTables) (exchangedTables, error) {
-	answer := c.localTables()
+	answer := c.localTables(query.QuarantineDigest)
 	c.mergeTables(query)
 	return answer, nil
 }
 
-// localTables returns the tables of this instance. c.mu must not be held.
-func (c *Controller) localTables() exchangedTables {
+// localTables returns the tables of this instance. That of the quarantine is left out if
+// its digest is the one that the other side had last. c.mu must not be held.
+func (c *Controller) localTables(othersDigest uint64) exchangedTables {
 	controls := c.controlAddresses()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	return exchangedTables{Servers: c.servers.Since(now, 0), Controls: controls, Quarantine: c.quarantine.Since(now, 0)}
+	tables := exchangedTables{Servers: c.servers.Since(now, 0), Controls: controls, QuarantineDigest: c.quarantine.Digest()}
+	if tables.QuarantineDigest != othersDigest {
+		tables.Quarantine = c.quarantine.Since(now, 0)
+	}
+	return tables
 }
 
 // mergeTables adds the tables of another control instance. Of its control
