platform, forwarder: log software versions and what a stream takes up

The logs could not tell which software version a stream began at and went on at, nor which stream a request takes up: neither a heartbeat's version nor Resumes was decoded.

Both are decoded now and appear on the line of each request (server-version, resumes, after) and of each change of a server (version), with no change of what is answered. A heartbeat with a version that is no text names no server to use, as for other fields; one without a version is taken, with the version unknown.

--- a/internal/controller/servers.go
+++ b/internal/controller/servers.go
@@ -68,7 +68,7 @@
 	revision := c.servers.Revision()
 	if revision != before {
 		klog.InfoS("server changed", "server", announcement.Name, "service", announcement.Service, "address", announcement.Address.String(),
-			"state", announcement.State, "born", announcement.StartedAtMillis, "counter", announcement.Counter, "warmup", announcement.Warmup)
+			"state", announcement.State, "version", announcement.Version, "born", announcement.StartedAtMillis, "counter", announcement.Counter, "warmup", announcement.Warmup)
 		c.notifyWatchers()
 	}
 	c.mu.Unlock()
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -94,10 +94,10 @@
 	record.attempts++
 	record.predictedWait, record.cachedTokens, record.usableServers = decision.PredictedWait, decision.CachedTokens, decision.UsableServers
 	if decision.Region != "" {
-		record.relayRegion, record.server = decision.Region, ""
+		record.relayRegion, record.server, record.serverVersion = decision.Region, "", ""
 		return f.sendToRegion(ctx, out, decision)
 	}
-	record.server = decision.Server.Name
+	record.server, record.serverVersion = decision.Server.Name, decision.Server.Version
 	out.offeredToServer = true
 	return f.sendToServer(ctx, out, id, decision)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -34,7 +34,10 @@
 	// LastEventID is the id of the event after which a stream resumes, or empty
 	// if the caller named none.
 	LastEventID string
-	Work        placer.Work
+	// Resumes is the id of the request that began the stream which this one takes up after
+	// LastEventID, or empty if the caller named none.
+	Resumes string
+	Work    placer.Work
 
 	Request *http.Request
 	Body    []byte
@@ -79,6 +82,8 @@
 	behind, unconfirmed time.Duration
 	// server is where the last attempt went, or empty if it was relayed.
 	server string
+	// serverVersion is the version of that server's software, if it is known.
+	serverVersion string
 	// relayRegion is the region that the call was last relayed to, if any.
 	relayRegion string
 	// predictedWait is the placer's prediction of the time to the first event.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -46,6 +46,8 @@
 	Address       netip.AddrPort `cbor:"a"`
 	FailureDomain string         `cbor:"d"`
 	State         State          `cbor:"t"`
+	// Version is that of the server's software; empty if it is not known.
+	Version string `cbor:"v,omitempty"`
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int `cbor:"l"`
 	// Warmup is the remaining warm-up time at the time of the announcement, that
