forwarder, follower, controller, placer: a stream goes on only at the version that began it

Callers got streams with events of two software versions of a service, which do not fit together: an entry instance resumed a stream at any server after its own had ended, and an instance at which a caller took a stream up placed that request as a new one. A server's version was decoded nowhere, nor was Resumes.

Within one answer the version of the server that sent the first event is known; the second instance of a relay names it in a header, which is stripped before callers, and gets it with a relayed stream that goes on. The placer gives such a request only to servers of that version with room, here or in a region whose summary names the version. A server that broke off a connection of this instance lately is left out, since it may be back under its name with another version before its heartbeat is heard. An unknown version is not resumed.

A request that takes up a stream asks by which version it began. A service that has had one version for as long as departed servers are remembered needs no record: control instances say so, if they have run for longer than the silence limit and have lately exchanged tables with all others. Otherwise the instance that sends the first event reports the stream, in batches of 100 ms, to one control instance, which tells the others 200 ms later; streams in progress are reported when a second version appears or a control instance starts anew. The instance that takes up asks its own table and then all control instances, 300 ms at most. What is not known, or cannot be since no control instance has answered for 3 s, is refused at once with 503 version-unknown, not run, Retry-After 0.3 s.

Weighed: asking the peers (the one that began it is gone in most cases), records by hash at a few entry instances (herds kill several, and their set differs by view), the beacons (sent ten times a second to each neighbour; records live for 20 s).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -87,6 +87,7 @@
 	// quarantineDigests holds the last digest of the other control instances' tables, by
 	// address.
 	quarantineDigests map[string]uint64
+	origins           originKeeper
 	// pendingForwards are announcements not yet sent to the other control
 	// instances.
 	pendingForwards []registrar.Server
@@ -102,6 +103,7 @@
 	c := &Controller{
 		settings: settings, decode: decode, client: client, machine: &stateMachine{},
 		epoch: time.Now().UnixNano(), changed: make(chan struct{}), quarantineDigests: map[string]uint64{},
+		origins: originKeeper{mixed: newMixedServices(nil, true)},
 	}
 	c.peers.seeds = settings.SeedPeers()
 	if err := c.open(); err != nil {
@@ -165,6 +167,7 @@
 		{Name: "exchange", Run: c.runExchange},
 		{Name: "spread", Run: c.runForwardAndExpire},
 		{Name: "quarantine", Run: c.runQuarantine},
+		{Name: "origins", Run: c.runOrigins},
 	}
 }
 
@@ -183,6 +186,9 @@
 	messenger.Handle(mux, MethodDocument, gates, c.serveDocument)
 	messenger.Handle(mux, MethodReportEvidence, gates, c.serveReportEvidence)
 	messenger.Handle(mux, methodForwardEvidence, controls, c.serveForwardEvidence)
+	messenger.Handle(mux, MethodReportOrigins, gates, c.serveReportOrigins)
+	messenger.Handle(mux, MethodOrigin, gates, c.serveOrigin)
+	messenger.Handle(mux, methodForwardOrigins, controls, c.serveForwardOrigins)
 }
 
 // SetSeeds replaces the seeds: the peer addresses of control instances that are
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"maps"
 	"net/netip"
 	"slices"
@@ -11,11 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/beaconer"
-	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/definer"
-	"github.com/boragehead/boragehead/internal/quarantiner"
-	"github.com/boragehead/boragehead/internal/registrar"
-	"github.com/boragehead/boragehead/internal/replicator"
 )
 
 // Timeouts of peers.
@@ -251,142 +246,3 @@
 	}
 	return 0
 }
-
-// MethodWatch is the long-polling call with which an entry instance follows a
-// control instance. It takes a WatchQuery and returns a WatchAnswer.
-const MethodWatch = "state-watch"
-
-// watchWait is how long a watch waits for a change before it is answered without
-// one.
-const watchWait = time.Second
-
-// maxExtraWait bounds the additional wait that a watch may ask for.
-const maxExtraWait = 10 * time.Second
-
-// WatchQuery tells a control instance what an entry instance knows already, and
-// asks for what has changed since.
-type WatchQuery struct {
-	// Epoch is the WatchAnswer.Epoch that ServersRevision and PeersRevision
-	// belong to; 0 at first.
-	Epoch int64 `cbor:"e"`
-	// Index and Version are those of the state that the entry instance has.
-	Index   replicator.Index `cbor:"i"`
-	Version uint64           `cbor:"v"`
-	// ServersRevision and PeersRevision are the last WatchAnswer.ServersRevision
-	// and WatchAnswer.PeersRevision.
-	ServersRevision uint64 `cbor:"s"`
-	PeersRevision   uint64 `cbor:"p"`
-	// Region and Name are those of the entry instance.
-	Region string `cbor:"r"`
-	Name   string `cbor:"n"`
-	// ExtraWait is how much longer than the usual second the answer may wait for a
-	// change.
-	ExtraWait time.Duration `cbor:"h,omitempty"`
-	// OmitState leaves WatchAnswer.State out of the answer; WatchAnswer.Index is
-	// always set.
-	OmitState bool `cbor:"b,omitempty"`
-	// OmitDocument leaves State.Document out of the answer. The entry instance
-	// fetches it with MethodDocument.
-	OmitDocument bool `cbor:"d,omitempty"`
-	// QuarantineRevision is the last WatchAnswer.QuarantineRevision plus 1; 1 at
-	// first, and 0 from processes that know no quarantine.
-	QuarantineRevision uint64 `cbor:"k,omitempty"`
-}
-
-// WatchAnswer is the answer to a WatchQuery.
-type WatchAnswer struct {
-	// Epoch identifies the start of the answering process. Its revisions begin
-	// anew with each start.
-	Epoch int64 `cbor:"e"`
-	// Region is where the answering process runs, and Index the log index at which
-	// its state last changed.
-	Region string           `cbor:"g"`
-	Index  replicator.Index `cbor:"x"`
-	// State is set if it is newer than the one of the query. Its document is left
-	// out if the entry instance has that version, or asked for that.
-	State *State `cbor:"t,omitempty"`
-	// Servers are the changed servers of the entry instance's region.
-	Servers []registrar.Server `cbor:"s,omitempty"`
-	// ServersRevision is the revision up to which changed servers are included.
-	ServersRevision uint64 `cbor:"u"`
-	// Instances and Controls are complete lists of the entry instances and of the
-	// control instances' peer addresses, set if either has changed.
-	Instances []beaconer.Instance `cbor:"n,omitempty"`
-	Controls  []string            `cbor:"c,omitempty"`
-	// PeersRevision is the revision of Instances and Controls; never 0.
-	PeersRevision uint64 `cbor:"q"`
-	// Quarantine are the changed prompt parts, and QuarantineRevision is the revision
-	// up to which they are included.
-	Quarantine         []quarantiner.Part `cbor:"k,omitempty"`
-	QuarantineRevision uint64             `cbor:"w,omitempty"`
-	// StateAge is how long ago the answering process last knew that Index was that of
-	// the newest accepted state; 0 from processes of an earlier release. Held is how
-	// long it held the query back.
-	StateAge time.Duration `cbor:"a,omitempty"`
-	Held     time.Duration `cbor:"l,omitempty"`
-}
-
-// serveWatch answers as soon as there is a change, or without one after the wait.
-func (c *Controller) serveWatch(ctx context.Context, _ certifier.Identity, query WatchQuery) (WatchAnswer, error) {
-	received := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, watchWait+min(query.ExtraWait, maxExtraWait))
-	defer cancel()
-	for {
-		c.mu.Lock()
-		changed := c.changed
-		c.mu.Unlock()
-		confirmed := c.group.Status().Confirmed // before the state is read, which may only be newer
-		answer, hasChanges := c.changesSince(query)
-		if hasChanges || ctx.Err() != nil {
-			answer.StateAge, answer.Held = stateAge(confirmed), time.Since(received)
-			return answer, nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
-	}
-}
-
-// changesSince returns the answer to a query, and whether it holds any change. It
-// also records the server revision that the entry instance has.
-func (c *Controller) changesSince(query WatchQuery) (WatchAnswer, bool) {
-	controls := c.controlAddresses()
-	state := c.machine.state()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if query.Epoch != c.epoch {
-		query.ServersRevision, query.PeersRevision, query.QuarantineRevision = 0, 0, min(query.QuarantineRevision, 1)
-	}
-	if c.peers.ackedServerRevisions == nil {
-		c.peers.ackedServerRevisions = map[string]uint64{}
-	}
-	c.peers.ackedServerRevisions[query.Name] = query.ServersRevision
-	answer := WatchAnswer{Epoch: c.epoch, Region: c.settings.Region, Index: state.Index, ServersRevision: c.servers.Revision(), PeersRevision: c.peers.revision + 1}
-	hasChanges := query.Epoch != c.epoch
-	if state.Index > query.Index {
-		if uint64(state.Version) == query.Version || query.OmitDocument {
-			state.Document = nil
-		}
-		if !query.OmitState {
-			answer.State = &state
-		}
-		hasChanges = true
-	}
-	if query.ServersRevision < answer.ServersRevision {
-		// Changes in other regions must not end the watch.
-		answer.Servers = slices.DeleteFunc(c.servers.Since(time.Now(), query.ServersRevision), func(s registrar.Server) bool {
-			return c.settings.FailureDomains[s.FailureDomain] != query.Region
-		})
-		hasChanges = hasChanges || len(answer.Servers) > 0
-	}
-	hasChanges = c.addQuarantine(time.Now(), query, &answer) || hasChanges
-	if query.PeersRevision < answer.PeersRevision {
-		answer.Controls = controls
-		for _, instance := range c.peers.instances {
-			answer.Instances = append(answer.Instances, instance.Instance)
-		}
-		hasChanges = true
-	}
-	return answer, hasChanges
-}
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -96,6 +96,12 @@
 	}
 }
 
+// BrokeOff reports whether a server has lately broken off connections of this instance, and
+// no later start of it is known.
+func (d *Detector) BrokeOff(server registrar.Server) bool {
+	return d.brokeOff(quarantiner.NewCrashID(server.Name, server.StartedAtMillis))
+}
+
 // brokeOff reports whether a start of a server has lately broken off connections, and is
 // not known to go on.
 func (d *Detector) brokeOff(id quarantiner.CrashID) bool {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -45,6 +45,7 @@
 	fetchRequested chan struct{}
 	// quarantine may be locked while mu is held, but not the other way round.
 	quarantine warden.Warden
+	origins    origins
 
 	mu sync.Mutex
 	// lifecycle is this instance's own state, as its beacons report it.
@@ -81,6 +82,9 @@
 	quotas          apportioner.Apportioner
 	beaconSequence  uint64
 	watchAnswered   bool
+	// originsRestarted means that a control instance has started anew since origins were
+	// last reported.
+	originsRestarted bool
 	// loggedConditions holds, by server name, the conditions when they were
 	// last logged.
 	loggedConditions map[string]string
@@ -103,6 +107,9 @@
 	cancel             func()
 	// region is where the control instance runs; empty until its first answer.
 	region string
+	// mixed tells which services have several versions; nil before the first answer and
+	// from a control instance of an earlier release.
+	mixed *controller.MixedServices
 	// index is that of the last state that it reported.
 	index replicator.Index
 	// fetchFailedAt is when the last attempt to fetch a definition from it failed;
--- /dev/null
+++ b/internal/follower/origins.go
@@ -0,0 +1,243 @@
+package follower
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/boragehead/boragehead/internal/conductor"
+	"github.com/boragehead/boragehead/internal/controller"
+	"github.com/boragehead/boragehead/internal/logger"
+	"github.com/boragehead/boragehead/internal/messenger"
+	"github.com/boragehead/boragehead/internal/versioner"
+)
+
+// Timing of the origins of streams.
+const (
+	// originInterval is how long origins are batched before they are reported.
+	originInterval = 100 * time.Millisecond
+	// originTimeout bounds one report to a control instance, and askTimeout the questions
+	// for one stream: its caller waits for it.
+	originTimeout = 500 * time.Millisecond
+	askTimeout    = 300 * time.Millisecond
+	// originExpiryInterval is the time between two looks for streams that have ended.
+	originExpiryInterval = 5 * time.Second
+	// maxVersionAge is how old the last answer of a control instance may be for a stream to
+	// go on: a server may start again with another version meanwhile.
+	maxVersionAge = 3 * time.Second
+	// maxPendingOrigins bounds the origins that wait to be reported. More are not reported,
+	// and those streams go on only here.
+	maxPendingOrigins = 1 << 14
+)
+
+// origins are the streams that this instance began to send, and those that the control
+// instances must still be told of. Its lock may be taken while f.mu is held, but not the
+// other way round.
+type origins struct {
+	mu      sync.Mutex
+	table   versioner.Table
+	pending []versioner.Origin
+	// uniform holds whether all control instances in contact knew a service to have one
+	// version, when its origins were last reported.
+	uniform map[string]bool
+	// services holds the names of the services of the streams in the table, by their hash.
+	services map[uint64]string
+}
+
+// RecordOrigin records by which version of a service the stream began that a request
+// brought the first event of. The control instances are told unless the service has had one
+// version for long.
+func (f *Follower) RecordOrigin(request, service, version string, left time.Duration) {
+	o := &f.origins
+	origin := versioner.Origin{Stream: versioner.NewStreamID(request), Version: version, Service: versioner.HashService(service), Left: left}
+	isUniform := f.isUniform(time.Now(), service)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.table.Add(time.Now(), origin) {
+		return
+	}
+	if o.services == nil {
+		o.services = map[uint64]string{}
+	}
+	o.services[origin.Service] = service
+	if !isUniform {
+		o.addPending([]versioner.Origin{origin})
+	}
+}
+
+// addPending makes origins due to be reported. o.mu must be held.
+func (o *origins) addPending(origins []versioner.Origin) {
+	o.pending = append(o.pending, origins[:min(len(origins), max(maxPendingOrigins-len(o.pending), 0))]...)
+}
+
+// isUniform reports whether a service is known to have had one version for long.
+func (f *Follower) isUniform(now time.Time, service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	answered := false
+	for _, watch := range f.controlWatches {
+		if now.Sub(watch.lastAnswer) > maxVersionAge {
+			continue
+		}
+		if watch.mixed == nil || watch.mixed.All || slices.Contains(watch.mixed.Names, service) {
+			return false
+		}
+		answered = true
+	}
+	return answered
+}
+
+// noteMixed takes over which services have several versions. f.mu must be held.
+func (f *Follower) noteMixed(watch *controlWatch, answer controller.WatchAnswer) {
+	watch.mixed = answer.Mixed
+	f.originsRestarted = f.originsRestarted || answer.Epoch != watch.epoch
+}
+
+// VersionsCurrent reports whether a control instance has answered lately.
+func (f *Follower) VersionsCurrent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, watch := range f.controlWatches {
+		if now.Sub(watch.lastAnswer) <= maxVersionAge {
+			return true
+		}
+	}
+	return false
+}
+
+// ReportOrigins reports the origins of streams to a control instance until the context
+// ends.
+func (f *Follower) ReportOrigins(ctx context.Context) error {
+	lastExpiry := time.Now()
+	return conductor.RunEvery(ctx, originInterval, func(ctx context.Context) {
+		now := time.Now()
+		if now.Sub(lastExpiry) >= originExpiryInterval {
+			f.origins.mu.Lock()
+			f.origins.table.Expire(now)
+			f.origins.mu.Unlock()
+			lastExpiry = now
+		}
+		due := f.dueOrigins(now)
+		if len(due) > 0 && !f.sendOrigins(ctx, due) {
+			f.origins.mu.Lock()
+			f.origins.addPending(due)
+			f.origins.mu.Unlock()
+		}
+	})
+}
+
+// dueOrigins returns the origins to report: the pending ones, all of a service that has got
+// a second version, and all once a control instance has started anew.
+func (f *Follower) dueOrigins(now time.Time) []versioner.Origin {
+	f.mu.Lock()
+	restarted := f.originsRestarted
+	f.originsRestarted = false
+	f.mu.Unlock()
+	o := &f.origins
+	o.mu.Lock()
+	services := make(map[uint64]string, len(o.services))
+	for hash, name := range o.services {
+		services[hash] = name
+	}
+	o.mu.Unlock()
+	uniform := map[string]bool{}
+	for _, name := range services {
+		uniform[name] = f.isUniform(now, name)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	due := o.pending
+	o.pending = nil
+	for hash, name := range services {
+		if wasUniform, known := o.uniform[name]; !uniform[name] && (restarted || wasUniform || !known) {
+			due = slices.DeleteFunc(due, func(pending versioner.Origin) bool { return pending.Service == hash })
+			due = append(due, o.table.OfService(now, hash)...)
+		}
+	}
+	o.uniform = uniform
+	return due[:min(len(due), maxPendingOrigins)]
+}
+
+// sendOrigins reports origins to one control instance, of this region if one confirms it,
+// which tells the others. It reports whether any has confirmed.
+func (f *Follower) sendOrigins(ctx context.Context, due []versioner.Origin) bool {
+	near, far := f.controlsByDistance()
+	slices.Sort(near)
+	for _, address := range append(near, far...) {
+		_, err := askControl[controller.OriginReport, controller.OriginReportAnswer](ctx, f, address, controller.MethodReportOrigins,
+			controller.OriginReport{Origins: due}, originTimeout)
+		if err == nil {
+			return true
+		}
+		klog.V(2).InfoS("cannot report the origins of streams", "to", address, "streams", len(due), "err", logger.ErrorText(err))
+	}
+	return false
+}
+
+// askControl calls a control instance by its address.
+func askControl[Q, A any](ctx context.Context, f *Follower, address, method string, query Q, timeout time.Duration) (A, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		var none A
+		return none, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return messenger.Call[Q, A](ctx, f.client, messenger.Endpoint{Name: address, Address: parsed}, method, query)
+}
+
+// Origin returns the version by which the stream of a request began, or false if neither
+// this instance nor a control instance in reach knows it.
+func (f *Follower) Origin(ctx context.Context, request, service string) (string, bool) {
+	stream := versioner.NewStreamID(request)
+	f.origins.mu.Lock()
+	version, known := f.origins.table.Version(time.Now(), stream)
+	f.origins.mu.Unlock()
+	if known {
+		return version, true
+	}
+	began := time.Now()
+	version, known = f.askOrigin(ctx, controller.OriginQuery{Stream: stream, Service: service})
+	klog.V(2).InfoS("origin of a stream", "request", request, "service", service, "version", version, "known", known, "took", time.Since(began))
+	return version, known
+}
+
+// askOrigin asks all control instances at once. What one of them knows of the stream counts
+// first, and then that the service has had one version for long.
+func (f *Follower) askOrigin(ctx context.Context, query controller.OriginQuery) (string, bool) {
+	near, far := f.controlsByDistance()
+	addresses := slices.Concat(near, far)
+	answers := make(chan controller.OriginAnswer, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			answer, err := askControl[controller.OriginQuery, controller.OriginAnswer](ctx, f, address, controller.MethodOrigin, query, askTimeout)
+			if err != nil {
+				klog.V(2).InfoS("cannot ask for the origin of a stream", "of", address, "err", logger.ErrorText(err))
+			}
+			answers <- answer
+		}()
+	}
+	for range addresses {
+		answer := <-answers
+		if answer.Version != "" {
+			return answer.Version, true
+		}
+		if answer.SoleVersion != "" && !f.hasOtherVersion(query.Service, answer.SoleVersion) {
+			return answer.SoleVersion, true
+		}
+	}
+	return "", false
+}
+
+// hasOtherVersion reports whether this instance knows a server of a service with another
+// version.
+func (f *Follower) hasOtherVersion(service, version string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placer.HasOtherVersion(service, version)
+}
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -162,7 +162,10 @@
 	query := controller.WatchQuery{
 		Epoch: watch.epoch, Index: f.queryIndex(watch), OmitDocument: true, Version: uint64(f.definitionVersion),
 		ServersRevision: watch.serversRevision, PeersRevision: watch.peersRevision, Region: f.settings.Region, Name: f.settings.Name,
-		QuarantineRevision: max(watch.quarantineRevision, 1),
+		QuarantineRevision: max(watch.quarantineRevision, 1), MixedHash: 1,
+	}
+	if watch.mixed != nil {
+		query.MixedHash = watch.mixed.Hash
 	}
 	timeout := watchTimeout
 	if f.isSecondary(watch) {
@@ -187,6 +190,7 @@
 		f.requestFetch() // there may have been no source before, as while a control instance restarts
 	}
 	f.applyQuarantine(now, watch, answer, answer.Epoch != watch.epoch)
+	f.noteMixed(watch, answer)
 	f.applyServerReports(now, watch, answer)
 	if answer.Instances != nil || answer.Controls != nil {
 		f.applyMembers(now, answer)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -41,6 +41,9 @@
 	if refusal := f.quarantineRefusal(out, 0); refusal != nil {
 		return refusal
 	}
+	if refusal := f.findOrigin(ctx, out); refusal != nil {
+		return refusal
+	}
 	if !call.Relayed { // the relaying instance has counted it
 		f.retryBudgets.deposit(time.Now(), call.Service.Name, f.fleet.InstanceCount())
 	}
@@ -50,7 +53,7 @@
 			if refusal := f.quarantineRefusal(out, try); refusal != nil {
 				return refusal
 			}
-			if !f.mayRunAgain(out) || !f.mayRetry(out, try) {
+			if !f.mayGoOn(out) || !f.mayRunAgain(out) || !f.mayRetry(out, try) {
 				return f.giveUp(ctx, out)
 			}
 		}
@@ -58,7 +61,7 @@
 		request.Resuming = out.streamStarted
 		var decision placer.Decision
 		f.waitWhileStarting(ctx, func() bool {
-			decision = f.place(call, &request)
+			decision = f.placeAtVersion(out, &request)
 			return decision.RefusalReason != placer.ReasonNoServer
 		})
 		if decision.RefusalReason != "" {
@@ -99,6 +102,7 @@
 	}
 	record.server, record.serverVersion = decision.Server.Name, decision.Server.Version
 	out.offeredToServer = true
+	out.attemptVersion = decision.Server.Version
 	return f.sendToServer(ctx, out, id, decision)
 }
 
--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -26,13 +26,13 @@
 	if err != nil {
 		return &Refusal{Status: http.StatusNotFound, Reason: "no-route"}
 	}
-	call.Route = route
+	call.Route = route // streamName needs it
 	if view.RequiresKey() && !route.Open {
 		if call.Workspace, err = view.WorkspaceByKey(call.Key); err != nil {
 			return &Refusal{Status: http.StatusUnauthorized, Reason: "unknown-key"}
 		}
 	}
-	service, known := view.Service(route.ChooseService(call.ID))
+	service, known := view.Service(route.ChooseService(call.streamName()))
 	if !known {
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no-service", RetryAfter: time.Second}
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -63,6 +63,9 @@
 	// decisions. The call is then served in this region or refused.
 	Relayed bool
 
+	// streamVersion is the version by which the stream began that a relayed call takes up
+	// or resumes, as the relaying instance knows it.
+	streamVersion string
 	// maxBody is the definition's limit of the body in bytes; 0 for the default.
 	maxBody int64
 	// fingerprint identifies the request together with its repetitions; 0 until the body
@@ -187,6 +190,7 @@
 	relayTransport  *http.Transport
 	retryBudgets    serviceBudgets
 	quarantine      Quarantine
+	origins         Origins
 	crashes         detector.Detector
 	newestWaits     newestWaits
 	bodyMemory      byteBudget
--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -40,6 +40,11 @@
 	// lastEventID is the id of the last event that was forwarded, or the one that
 	// the caller named.
 	lastEventID string
+	// version is the software version by which the stream began that is sent, or that the
+	// call takes up; empty if there is none yet, or the version is not known.
+	// attemptVersion is that of the last attempt's server.
+	version        string
+	attemptVersion string
 	// unnumberedEvents means that events without an id were forwarded after
 	// lastEventID, so that resuming would repeat them.
 	unnumberedEvents bool
@@ -147,9 +152,10 @@
 // those that only instances send. It keeps net/http from adding a Date or
 // Content-Type of its own.
 func (r *callerResponse) copyHeaders(from http.Header) {
-	header := r.writer.Header()
+	header, serverVersion := r.writer.Header(), ""
 	if r.call.Relayed {
 		header.Set(headerRan, strconv.Itoa(r.possibleRuns))
+		serverVersion = r.attemptVersion
 	}
 	from = from.Clone()
 	removeHopByHopHeaders(from)
@@ -159,6 +165,9 @@
 	for name, values := range from {
 		header[name] = values
 	}
+	if serverVersion != "" {
+		header.Set(headerServerVersion, serverVersion)
+	}
 	for _, name := range []string{"Date", "Content-Type"} {
 		if _, present := from[name]; !present {
 			header[name] = nil
@@ -323,6 +332,7 @@
 // startStream sends the status and headers of a stream to the caller.
 func (r *callerResponse) startStream(response *http.Response) {
 	r.noteFirstByte()
+	r.noteOrigin()
 	r.streamStarted = true
 	r.endWrites = r.boundWrites()
 	r.copyHeaders(response.Header)
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -34,6 +34,8 @@
 	// headerHomesMoved marks a refusal because the second instance has a newer
 	// definition, which decides the call otherwise than the first one's.
 	headerHomesMoved = "Boragehead-Homes-Moved"
+	// headerServerVersion is the software version of the server that gave the response.
+	headerServerVersion = "Boragehead-Server-Version"
 	// headerReason is the second instance's reason for a refusal.
 	headerReason = "Boragehead-Reason"
 
@@ -42,7 +44,7 @@
 )
 
 // instanceHeaders are the response headers that only instances send each other.
-var instanceHeaders = []string{headerOutcome, headerRan, headerOffered, headerRetryAfter, headerReason, headerHomesMoved}
+var instanceHeaders = []string{headerOutcome, headerRan, headerOffered, headerRetryAfter, headerReason, headerHomesMoved, headerServerVersion}
 
 // relayedCall is a call with the routing decisions of the instance that received
 // it. The second instance uses only these decisions, whatever definition it has
@@ -71,6 +73,9 @@
 	// Probe means that the call may run once although a part of its prompt is
 	// quarantined.
 	Probe bool `cbor:"q,omitempty"`
+	// StreamVersion is the software version by which the stream began that goes on after
+	// LastEvent; empty if there is none.
+	StreamVersion string `cbor:"z,omitempty"`
 }
 
 // sendToRegion makes one attempt by relaying a call to an instance of another
@@ -99,7 +104,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	request, connected := newOutgoingRequest(ctx, call, address.String())
-	header, err := encodeRelayedCall(call, out.lastEventID, maxRuns)
+	header, err := encodeRelayedCall(call, out.lastEventID, out.version, maxRuns)
 	if err != nil {
 		klog.ErrorS(err, "failed to encode call for relay", "id", call.ID)
 		return resultDeclined, 0
@@ -120,6 +125,7 @@
 		maxRuns = min(maxRuns, reported)
 	}
 	response.Header.Del(headerRan)
+	out.attemptVersion = response.Header.Get(headerServerVersion)
 	switch response.Header.Get(headerOutcome) {
 	case outcomeNotRun:
 		out.homesMoved = response.Header.Get(headerHomesMoved) != ""
@@ -143,8 +149,8 @@
 }
 
 // encodeRelayedCall returns the value of headerRelay for a call whose stream, if
-// any, resumes after lastEvent.
-func encodeRelayedCall(call *Call, lastEvent string, attemptsLeft int) (string, error) {
+// any, resumes after lastEvent at a server of a version.
+func encodeRelayedCall(call *Call, lastEvent, version string, attemptsLeft int) (string, error) {
 	workspace := call.Workspace
 	if workspace != nil {
 		// The other instance needs only the name; the keys stay here.
@@ -157,7 +163,7 @@
 	data, err := cbor.Marshal(relayedCall{
 		ID: call.ID, Route: *call.Route, Service: *call.Service, Workspace: workspace, Version: call.record.definitionVersion,
 		Work: call.Work, AttemptsLeft: attemptsLeft, Urgency: call.Urgency, UntilDeadline: time.Until(call.Deadline), UntilObjective: untilObjective,
-		LastEvent: lastEvent, Homes: call.HomeRegions, Bound: call.HomeRegionsOnly, Probe: call.probe, MaxBody: call.maxBody,
+		LastEvent: lastEvent, Homes: call.HomeRegions, Bound: call.HomeRegionsOnly, Probe: call.probe, MaxBody: call.maxBody, StreamVersion: version,
 	})
 	return base64.StdEncoding.EncodeToString(data), err
 }
@@ -255,7 +261,7 @@
 		call.HomeRegions, call.HomeRegionsOnly = decoded.Route.Homes, true
 	}
 	call.record.definitionVersion, call.homesVersion = decoded.Version, decoded.Version
-	call.probe, call.maxBody = decoded.Probe, decoded.MaxBody
+	call.probe, call.maxBody, call.streamVersion = decoded.Probe, decoded.MaxBody, decoded.StreamVersion
 	call.Route.Objective = max(decoded.UntilObjective, time.Millisecond)
 	call.Route.Attempts = decoded.AttemptsLeft
 	return call, nil
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -78,8 +78,10 @@
 	actors := &conductor.Actors{}
 	initProcess(actors, settings.Fleet)
 	e.forwarder.UseQuarantine(e.follower)
+	e.forwarder.UseOrigins(e.follower)
 	actors.Add("follower", e.follower.Run)
 	actors.Add("evidence", e.follower.ReportEvidence)
+	actors.Add("origins", e.follower.ReportOrigins)
 	actors.Add("beacons", e.follower.SendBeacons)
 	actors.Add("beacon-port", e.follower.ReceiveBeacons)
 	actors.Add("reloader", settingsReloader[loader.Entry]{path: path, apply: func(next loader.Entry) {
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -84,7 +84,7 @@
 func (p *Placer) limitedServers(now time.Time, request Request) []throttler.Server {
 	var limited []throttler.Server
 	for _, s := range p.serversByName {
-		if s.Service == request.Service.Name && p.usable(now, s) && p.isLimited(s) {
+		if s.Service == request.Service.Name && p.usable(now, s) && p.isLimited(s) && request.allowsVersion(s.Version) {
 			limited = append(limited, s.start().throttled())
 		}
 	}
@@ -129,7 +129,7 @@
 	}
 	for region, services := range p.remoteServices {
 		remote := services[request.Service.Name]
-		if remote.LimitedRate <= 0 || now.Sub(remote.receivedAt) > summaryTTL || !request.mayRunIn(region) {
+		if remote.LimitedRate <= 0 || now.Sub(remote.receivedAt) > summaryTTL || !request.mayRunIn(region) || !remote.hasVersion(request) {
 			continue
 		}
 		if remote.LimitedRate > rate || remote.LimitedRate == rate && region < best {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -47,6 +47,9 @@
 	// not be chosen again.
 	TriedServers []string
 	TriedRegions []string
+	// Version, unless empty, is the only software version whose servers may serve the
+	// request: it goes on with a stream that a server of that version began.
+	Version string
 	// Resuming means that part of a stream has reached the caller and the request
 	// resumes it. Such a request is never refused because of load: it is placed as
 	// long as any server or region can serve it.
@@ -58,6 +61,11 @@
 	return !r.HomeRegionsOnly || slices.Contains(r.HomeRegions, region)
 }
 
+// allowsVersion reports whether servers of a software version may serve the request.
+func (r Request) allowsVersion(version string) bool {
+	return r.Version == "" || r.Version == version
+}
+
 // Reason is why a request was refused.
 type Reason string
 
--- a/internal/placer/region.go
+++ b/internal/placer/region.go
@@ -20,6 +20,14 @@
 	// MinTokenTime is the shortest predicted time for one token of the output. It is
 	// 0 for services without engines.
 	MinTokenTime time.Duration `cbor:"t,omitempty"`
+	// Versions is how many servers are usable and warm, by their software version; nil
+	// from an earlier release.
+	Versions map[string]int `cbor:"v,omitempty"`
+}
+
+// hasVersion reports whether a server can go on with what the request goes on with.
+func (s ServiceSummary) hasVersion(request Request) bool {
+	return request.Version == "" || s.Versions[request.Version] > 0
 }
 
 // SetRegionServices replaces the summaries of another region's services, by
@@ -57,7 +65,7 @@
 	}
 	for region, services := range p.remoteServices {
 		remote, serves := services[request.Service.Name]
-		if !serves || remote.Servers == 0 || now.Sub(remote.receivedAt) > summaryTTL || !request.allowsRegion(region) {
+		if !serves || remote.Servers == 0 || now.Sub(remote.receivedAt) > summaryTTL || !request.allowsRegion(region) || !remote.hasVersion(request) {
 			continue
 		}
 		ownPrefill := prefillTime(request.Work.Prompt-sharedTokens(request.Work.Parts), 1)
@@ -82,6 +90,17 @@
 	return !slices.Contains(r.TriedRegions, region) && r.mayRunIn(region)
 }
 
+// HasOtherVersion reports whether a server of a service is known here, usable or not, that
+// has another software version than the given one.
+func (p *Placer) HasOtherVersion(service, version string) bool {
+	for _, s := range p.serversByName {
+		if s.Service == service && s.Version != version {
+			return true
+		}
+	}
+	return false
+}
+
 // Summaries returns the summaries of this region's services, by service name, as
 // they are reported to other regions. Services without a usable, warm server are
 // left out.
@@ -92,6 +111,10 @@
 			continue
 		}
 		summary := summaries[s.Service]
+		if summary.Versions == nil {
+			summary.Versions = map[string]int{}
+		}
+		summary.Versions[s.Version]++
 		if limit, limited := p.limits.Limit(s.start().throttled()); limited {
 			summary.LimitedRate += max(limit, throttler.MinRate)
 			summaries[s.Service] = summary
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -92,12 +92,6 @@
 	waiting     map[*waitingRequest]struct{}
 }
 
-// waitingRequest is a request that waits for a server.
-type waitingRequest struct {
-	workspace string
-	cancel    context.CancelFunc
-}
-
 // New returns a sender. It calls the checker before every send. The seed makes its
 // retry backoff reproducible.
 func New(servers Dispatcher, peers Peers, counters Counters, checker Checker, seed uint64) *Sender {
@@ -254,35 +248,6 @@
 	}
 }
 
-// trackWaiting returns a context that CancelWaiting cancels, and a function that
-// must be called when the wait ends.
-func (s *Sender) trackWaiting(ctx context.Context, x *exchanger.Exchange) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	request := &waitingRequest{workspace: x.Workspace.Name, cancel: cancel}
-	s.mu.Lock()
-	s.waiting[request] = struct{}{}
-	s.mu.Unlock()
-	return ctx, func() {
-		s.mu.Lock()
-		delete(s.waiting, request)
-		s.mu.Unlock()
-		cancel()
-	}
-}
-
-// CancelWaiting takes the requests of the workspaces for which elsewhere returns
-// true out of the queue, so that they are checked again, and refused, at once. It
-// should be called after every change of the configuration.
-func (s *Sender) CancelWaiting(elsewhere func(workspace string) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for request := range s.waiting {
-		if elsewhere(request.workspace) {
-			request.cancel()
-		}
-	}
-}
-
 // transport returns the transport for a request. Requests that must not run twice
 // get a new connection each, because a reused one may already be closed by the
 // server, and whether the request ran would then be unknown.
--- /dev/null
+++ b/internal/versioner/versioner.go
@@ -0,0 +1,110 @@
+// Package versioner remembers by which software version of a backend server each stream
+// began, so that it goes on at no other one.
+//
+// A [Table] holds streams by the hash of the id of the request that brought their first
+// event. What it knows of a stream never changes, so that reports may arrive late, twice or
+// in any order. Only ages travel.
+//
+// The package starts no goroutines, opens no sockets and reads no clock.
+package versioner
+
+import (
+	"maps"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MaxOrigins bounds the streams of a table. When there are more, new ones are not added.
+const MaxOrigins = 1 << 18
+
+// StreamID identifies a stream.
+type StreamID uint64
+
+// NewStreamID returns the id of the stream that a request began.
+func NewStreamID(request string) StreamID {
+	return StreamID(xxhash.Sum64String(request))
+}
+
+// Origin tells by which version a stream began, in the form in which tables exchange it.
+type Origin struct {
+	Stream  StreamID `cbor:"s"`
+	Version string   `cbor:"v"`
+	// Service is the hash of the service's name.
+	Service uint64 `cbor:"r,omitempty"`
+	// Left is how long the stream may still be taken up.
+	Left time.Duration `cbor:"l"`
+}
+
+// HashService returns the hash of a service's name in an Origin.
+func HashService(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
+
+// Table holds the origins of streams. The zero value is empty. It is not safe for
+// concurrent use.
+type Table struct {
+	origins map[StreamID]origin
+	// base is the time that origin.until counts from, since a duration is a third as large
+	// as a time.
+	base time.Time
+	// versions holds each version once, since most streams share a few.
+	versions map[string]string
+}
+
+type origin struct {
+	version string
+	service uint64
+	until   time.Duration
+}
+
+// Add adds the origin of a stream. It reports whether that is new.
+func (t *Table) Add(now time.Time, added Origin) bool {
+	if _, known := t.origins[added.Stream]; known || len(t.origins) >= MaxOrigins || added.Left <= 0 {
+		return false
+	}
+	if t.origins == nil {
+		t.origins, t.versions, t.base = map[StreamID]origin{}, map[string]string{}, now
+	}
+	version, known := t.versions[added.Version]
+	if !known {
+		version = added.Version
+		t.versions[version] = version
+	}
+	t.origins[added.Stream] = origin{version: version, service: added.Service, until: now.Sub(t.base) + added.Left}
+	return true
+}
+
+// Version returns the version by which a stream began, and whether it is known.
+func (t *Table) Version(now time.Time, stream StreamID) (string, bool) {
+	known, exists := t.origins[stream]
+	if !exists || now.Sub(t.base) > known.until {
+		return "", false
+	}
+	return known.version, true
+}
+
+// OfService returns the origins of the streams of a service, in no particular order.
+func (t *Table) OfService(now time.Time, service uint64) []Origin {
+	var origins []Origin
+	for stream, known := range t.origins {
+		if left := known.until - now.Sub(t.base); known.service == service && left > 0 {
+			origins = append(origins, Origin{Stream: stream, Version: known.version, Service: service, Left: left})
+		}
+	}
+	return origins
+}
+
+// Expire removes the streams that cannot be taken up any more.
+func (t *Table) Expire(now time.Time) {
+	maps.DeleteFunc(t.origins, func(_ StreamID, known origin) bool { return now.Sub(t.base) > known.until })
+	if len(t.origins) == 0 {
+		t.versions = nil
+		t.origins = nil
+	}
+}
+
+// Len returns the number of streams.
+func (t *Table) Len() int {
+	return len(t.origins)
+}
