sender: a stream is not resumed at another software version

Callers of the own interface could get a stream of two software versions: it is resumed at the address of its own server, which may have started again with another one meanwhile.

A server may name its version in the header Boragehead-Server-Version; a resumed response must name the one that the first named. Where servers name none, a later start that has announced itself ends the stream. Ended so, the caller gets the error event as for each stream that cannot go on.

--- a/internal/exchanger/refusal.go
+++ b/internal/exchanger/refusal.go
@@ -32,6 +32,9 @@
 	HeaderRoute     = "Boragehead-Route"
 	HeaderRevision  = "Boragehead-Revision"
 	HeaderUsage     = "Boragehead-Usage-Tokens"
+	// HeaderServerVersion is the version of a backend server's software. What two versions
+	// write does not fit together.
+	HeaderServerVersion = "Boragehead-Server-Version"
 )
 
 // Code identifies the reason for a refusal. Codes are part of the API.
--- a/internal/sender/attempt.go
+++ b/internal/sender/attempt.go
@@ -49,6 +49,8 @@
 	// onFirstByte, if set, is called before the first byte of a stream is
 	// written to the caller.
 	onFirstByte func()
+	// sameStart, if set, reports whether no later start of the server is known.
+	sameStart func() bool
 	// observe, if set, starts to observe how an attempt begins at the server.
 	observe func() *detector.Begin
 }
@@ -89,7 +91,7 @@
 			}
 			return result, stream.tokens
 		}
-		if !s.mayRunAgain(x) {
+		if !s.mayRunAgain(x) || !t.sameStart() {
 			stream.writeError(cutStreamRefusal(ctx))
 			return result, stream.tokens
 		}
@@ -167,6 +169,11 @@
 		return stream.failedAttempt(true)
 	}
 	if isStream(response) {
+		if !stream.acceptVersion(response.Header.Get(exchanger.HeaderServerVersion)) {
+			klog.InfoS("stream not resumed: the server has another version", "id", x.ID, "server", x.Result.Server,
+				"began", stream.version, "version", response.Header.Get(exchanger.HeaderServerVersion))
+			return attemptPartial
+		}
 		return stream.copyEvents(response, cancel)
 	}
 	return s.copyBuffered(x, response, stream)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -24,6 +24,7 @@
 	"github.com/boragehead/boragehead/internal/picker"
 	"github.com/boragehead/boragehead/internal/reserver"
 	"github.com/boragehead/boragehead/internal/retrier"
+	"github.com/boragehead/boragehead/internal/tracker"
 )
 
 // writeGrace is how long after a request's deadline its caller may still take the
@@ -42,6 +43,8 @@
 	// FirstToken reports that the first byte of the response to the request with
 	// this id has arrived.
 	FirstToken(ctx context.Context, id uint64)
+	// Servers returns the usable servers by name.
+	Servers() map[string]tracker.Announcement
 	// Release returns an assigned server. It is called once per assignment.
 	Release(ctx context.Context, done dispatcher.Done)
 }
@@ -207,6 +210,10 @@
 	started := time.Now()
 	target := target{baseURL: "http://" + assignment.Server.Address.String(), transport: s.transport(x)}
 	target.onFirstByte = func() { s.servers.FirstToken(ctx, assignment.ID) }
+	target.sameStart = func() bool {
+		current, usable := s.servers.Servers()[assignment.Server.Name]
+		return !usable || current.Incarnation == assignment.Server.Incarnation
+	}
 	target.observe = func() *detector.Begin { return s.observe(x, assignment) }
 	result, tokens := s.sendWithResume(ctx, x, target)
 	done := dispatcher.Done{ID: assignment.ID, Tokens: tokens, Elapsed: time.Since(started)}
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -31,6 +31,8 @@
 	mismatched int
 	retries    int
 	resumes    int
+	// announced are the usable servers, by name.
+	announced map[string]tracker.Announcement
 	// recheck, if set, replaces the check before each send, which allows all.
 	recheck func(x *exchanger.Exchange) *exchanger.Refusal
 }
@@ -55,6 +57,8 @@
 	return f.model.Update(now, request)[0], nil
 }
 
+func (f *fakeDependencies) Servers() map[string]tracker.Announcement { return f.announced }
+
 func (f *fakeDependencies) FirstToken(context.Context, uint64) {}
 
 func (f *fakeDependencies) Release(_ context.Context, done dispatcher.Done) {
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -51,6 +51,9 @@
 	// unnumberedEvents means that events without an id were written after
 	// lastEvent, so that resuming would repeat them.
 	unnumberedEvents bool
+	// version is that of the software of the server that began the stream; empty if it
+	// does not tell.
+	version string
 	// tokens is the number of events written, taken as one token each.
 	tokens int64
 	// onBegin, unless nil, is called once in each attempt, at its first event or when a
@@ -134,6 +137,19 @@
 	return s.failedAttempt(true)
 }
 
+// acceptVersion reports whether a server of a software version may send the stream: one that
+// has begun goes on only at the version that began it. It ends the resuming of one that
+// cannot.
+func (s *streamCopier) acceptVersion(version string) bool {
+	if !s.started {
+		s.version = version
+	}
+	if s.version != version {
+		s.lastEvent = ""
+	}
+	return s.version == version
+}
+
 // noteBegin records that the answer of this attempt has begun.
 func (s *streamCopier) noteBegin() {
 	if s.onBegin != nil {
--- a/internal/sender/version_test.go
+++ b/internal/sender/version_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/boragehead/boragehead/internal/exchanger"
 	"github.com/boragehead/boragehead/internal/sender"
+	"github.com/boragehead/boragehead/internal/tracker"
 )
 
 // TestStreamGoesOnAtRestartedServer has the server of a stream break off and come back at
@@ -22,13 +23,15 @@
 	tests := []struct {
 		name     string
 		versions []string // of the answers to the first request and to the resumed one
+		restart  bool     // a later start has announced itself
 		goesOn   bool
 	}{
-		{"same version", []string{"v1", "v1"}, true},
-		{"other version", []string{"v1", "v2"}, false},
-		{"version not told any more", []string{"v1", ""}, false},
-		{"version told only now", []string{"", "v1"}, false},
-		{"never told", []string{"", ""}, true},
+		{"same version", []string{"v1", "v1"}, false, true},
+		{"other version", []string{"v1", "v2"}, false, false},
+		{"version not told any more", []string{"v1", ""}, false, false},
+		{"version told only now", []string{"", "v1"}, false, false},
+		{"never told", []string{"", ""}, false, true},
+		{"never told, and started again", []string{"", ""}, true, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -53,6 +56,9 @@
 			}))
 			t.Cleanup(server.Close)
 			f := &fakeDependencies{servers: []netip.AddrPort{netip.MustParseAddrPort(server.Listener.Addr().String())}}
+			if test.restart {
+				f.announced = map[string]tracker.Announcement{"s0": {Name: "s0", Incarnation: 2}}
+			}
 			x, writer := newExchange(streamedRequest, false)
 			assert.Assert(t, sender.New(f, f, f, f, 1).Handle(context.Background(), x) == nil)
 			body := writer.Body.String()
