quarantiner, detector: what a request without a prompt begins says nothing of prompts

A sound begin of a request without a prompt contrasted the crashes of all parts, so that those of sound prompts tied with the culprit's and were refused with it; it contrasts only requests now. Such requests also counted into the share that decides whether a part is held back, so that the parts that all prompts have were held back too. And an answer that was complete no longer counted as sound if its server crashed within the second after it, as all do in an outbreak, so that nothing contrasted; the check is gone: a complete answer has not crashed its server.

--- a/internal/detector/begin.go
+++ b/internal/detector/begin.go
@@ -40,7 +40,8 @@
 }
 
 // NoteBegin records that the answer has begun. It counts as sound a while later, if
-// nothing has failed until then and the server is not known to have broken off others.
+// nothing has failed until then: also if it was complete by then and the server crashed
+// afterwards, under another one.
 func (d *Detector) NoteBegin(b *Begin) {
 	if b == nil {
 		return
@@ -53,7 +54,7 @@
 		b.mu.Lock()
 		failed := b.failed
 		b.mu.Unlock()
-		if !failed && !d.brokeOff(b.crashID()) {
+		if !failed {
 			d.Quarantine.RecordSoundBegin(began, b.server, b.traits)
 		}
 	})
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -97,17 +97,11 @@
 }
 
 // BrokeOff reports whether a server has lately broken off connections of this instance, and
-// no later start of it is known.
+// is not known to go on.
 func (d *Detector) BrokeOff(server registrar.Server) bool {
-	return d.brokeOff(quarantiner.NewCrashID(server.Name, server.StartedAtMillis))
-}
-
-// brokeOff reports whether a start of a server has lately broken off connections, and is
-// not known to go on.
-func (d *Detector) brokeOff(id quarantiner.CrashID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	_, known := d.byStart[id]
+	_, known := d.byStart[quarantiner.NewCrashID(server.Name, server.StartedAtMillis)]
 	return known
 }
 
--- a/internal/quarantiner/holdback.go
+++ b/internal/quarantiner/holdback.go
@@ -25,33 +25,37 @@
 	minRecentRequests = 8
 )
 
-// recentRequests holds the traits of the last requests. The zero value is empty.
+// recentRequests holds the parts of the last requests that have any. The zero value is
+// empty.
 type recentRequests struct {
-	traits []Traits
-	next   int
+	parts [][]uint64
+	next  int
 }
 
-func (r *recentRequests) add(traits Traits) {
-	if len(r.traits) < maxRecentRequests {
-		r.traits = append(r.traits, traits)
+func (r *recentRequests) add(parts []uint64) {
+	switch {
+	case len(parts) == 0:
+		return
+	case len(r.parts) < maxRecentRequests:
+		r.parts = append(r.parts, parts)
 		return
 	}
-	r.traits[r.next] = traits
+	r.parts[r.next] = parts
 	r.next = (r.next + 1) % maxRecentRequests
 }
 
 // share returns the share of the requests that have a part; 1 if there were too few.
 func (r *recentRequests) share(part uint64) float64 {
-	if len(r.traits) < minRecentRequests {
+	if len(r.parts) < minRecentRequests {
 		return 1
 	}
 	count := 0
-	for _, traits := range r.traits {
-		if traits.has(part) {
+	for _, parts := range r.parts {
+		if slices.Contains(parts, part) {
 			count++
 		}
 	}
-	return float64(count) / float64(len(r.traits))
+	return float64(count) / float64(len(r.parts))
 }
 
 // holdBack returns for how long a request must be held back because of its traits; 0 if
--- a/internal/quarantiner/holdback_test.go
+++ b/internal/quarantiner/holdback_test.go
@@ -18,6 +18,7 @@
 	for number := range quarantiningCrashes {
 		for range 4 {
 			table.Admit(now, Traits{Parts: []uint64{common, sound}}, anyone)
+			table.Admit(now, Traits{Request: 50}, anyone) // has no prompt
 		}
 		assert.Assert(t, !table.Admit(now, Traits{Parts: []uint64{common, culprit}}, anyone).HeldBack, "after %d crashes", number)
 		now = now.Add(600 * time.Millisecond)
--- a/internal/quarantiner/request_test.go
+++ b/internal/quarantiner/request_test.go
@@ -97,6 +97,13 @@
 			contrast(t, 4*time.Second)
 			return 3*time.Second + settleTime
 		}, request(60, rare), LevelClear},
+		{"parts of the culprit, while only requests without prompts begin", func(t *Table) time.Duration {
+			for i := range 5 {
+				t.RecordCrash(start.Add(time.Duration(i)*time.Second), CrashID(i+1), "s", request(uint64(70+i), popular, rare))
+			}
+			t.RecordSoundBegin(start.Add(5*time.Second), "s", request(9999))
+			return 5*time.Second + settleTime
+		}, request(60, popular), LevelSuspected},
 		{"three culprits at once", func(t *Table) time.Duration {
 			for i := range 9 {
 				t.RecordCrash(start.Add(time.Duration(i)*50*time.Millisecond), CrashID(i+1), "s", request(culprit+uint64(i%3), popular))
--- a/internal/quarantiner/scenario_test.go
+++ b/internal/quarantiner/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,7 +66,9 @@
 	var running []scenarioRequest
 	downUntil := make([]time.Time, scenarioServers)
 	starts := make([]int64, scenarioServers)
-	isCulprit := func(traits Traits) bool { return traits.has(culpritPart) || traits.has(culpritRequest) }
+	isCulprit := func(traits Traits) bool {
+		return traits.Request == culpritRequest || slices.Contains(traits.Parts, culpritPart)
+	}
 	send := func(now time.Time, traits Traits, retries int) {
 		admission := table.Admit(now, traits, func(uint64) bool { return false })
 		if admission.Level == LevelQuarantined || admission.HeldBack {
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -14,9 +14,6 @@
 package quarantiner
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"strconv"
 	"time"
 
@@ -123,6 +120,18 @@
 	return !c.cleared && !c.contrasted
 }
 
+// crashKind are the crashes of a service, by its hash, under requests or under parts of
+// prompts. Each sound begin contrasts the former, and only one on a prompt the latter: that
+// requests without prompts begin says nothing of prompts.
+type crashKind struct {
+	service   uint64
+	ofRequest bool
+}
+
+func (p *part) kindOf(c crash) crashKind {
+	return crashKind{service: c.service, ofRequest: p.isRequest}
+}
+
 // Table holds the suspected parts. The zero value is empty. It is not safe for
 // concurrent use.
 type Table struct {
@@ -131,11 +140,10 @@
 	beginsByPart map[uint64]time.Time
 	// beginsByRequest holds the last sound begins of requests.
 	beginsByRequest recentBegins
-	// beginsByService holds the last sound begin of each service, by its hash.
-	beginsByService map[uint64]time.Time
-	// earliestOpen holds the time of the earliest crash that is open, by the hash of its
-	// service.
-	earliestOpen map[uint64]time.Time
+	// contrasts holds the last sound begin that contrasts the crashes of a kind.
+	contrasts map[crashKind]time.Time
+	// earliestOpen holds the time of the earliest open crash of each kind.
+	earliestOpen map[crashKind]time.Time
 	revision     uint64
 	verdict      verdict
 	// recent are the requests that were asked for here.
@@ -165,11 +173,16 @@
 // the service's servers work without the other parts.
 func (t *Table) RecordSoundBegin(began time.Time, service string, traits Traits) {
 	if t.beginsByPart == nil {
-		t.beginsByPart, t.beginsByService = map[uint64]time.Time{}, map[uint64]time.Time{}
+		t.beginsByPart, t.contrasts = map[uint64]time.Time{}, map[crashKind]time.Time{}
 	}
-	hash := xxhash.Sum64String(service)
-	if began.After(t.beginsByService[hash]) {
-		t.beginsByService[hash] = began
+	kinds := []crashKind{{service: xxhash.Sum64String(service), ofRequest: true}}
+	if len(traits.Parts) > 0 {
+		kinds = append(kinds, crashKind{service: kinds[0].service})
+	}
+	for _, kind := range kinds {
+		if began.After(t.contrasts[kind]) {
+			t.contrasts[kind] = began
+		}
 	}
 	traits.each(func(partID uint64, isRequest bool) {
 		t.recordBegin(began, partID, isRequest)
@@ -177,30 +190,39 @@
 			t.markOwnChange(p)
 		}
 	})
-	if earliest, exists := t.earliestOpen[hash]; !exists || !earliest.Before(began) {
-		return
+	for _, kind := range kinds {
+		if earliest, exists := t.earliestOpen[kind]; exists && earliest.Before(began) {
+			t.contrast(kind)
+		}
 	}
-	delete(t.earliestOpen, hash)
+}
+
+// contrast applies the last sound begin to all open crashes of a kind.
+func (t *Table) contrast(kind crashKind) {
+	delete(t.earliestOpen, kind)
 	for partID, p := range t.parts {
+		if p.isRequest != kind.ofRequest {
+			continue
+		}
 		if t.refine(partID, p) {
 			t.markOwnChange(p)
 		}
 		for _, c := range p.crashes {
-			t.noteOpen(c)
+			t.noteOpen(p.kindOf(c), c)
 		}
 	}
 }
 
-// noteOpen updates earliestOpen for a crash.
-func (t *Table) noteOpen(c crash) {
+// noteOpen updates earliestOpen for a crash of a kind.
+func (t *Table) noteOpen(kind crashKind, c crash) {
 	if !c.isOpen() {
 		return
 	}
 	if t.earliestOpen == nil {
-		t.earliestOpen = map[uint64]time.Time{}
+		t.earliestOpen = map[crashKind]time.Time{}
 	}
-	if earliest, exists := t.earliestOpen[c.service]; !exists || c.at.Before(earliest) {
-		t.earliestOpen[c.service] = c.at
+	if earliest, exists := t.earliestOpen[kind]; !exists || c.at.Before(earliest) {
+		t.earliestOpen[kind] = c.at
 	}
 }
 
@@ -211,7 +233,7 @@
 	changed := p.isRequest && !p.wasSound && !began.IsZero()
 	p.wasSound = p.wasSound || changed
 	for id, c := range p.crashes {
-		if refined := t.refineCrash(began, c); refined != c {
+		if refined := t.refineCrash(p.kindOf(c), began, c); refined != c {
 			p.crashes[id] = refined
 			changed = true
 		}
@@ -219,11 +241,12 @@
 	return changed
 }
 
-// refineCrash applies the last sound begin on a part to one of its crashes.
-func (t *Table) refineCrash(began time.Time, c crash) crash {
+// refineCrash applies the last sound begin on a part, and those of others, to one of the
+// part's crashes.
+func (t *Table) refineCrash(kind crashKind, began time.Time, c crash) crash {
 	c.cleared = c.cleared || c.at.Before(began)
 	// A begin on the part itself would have cleared the crash.
-	if last := t.beginsByService[c.service]; !c.cleared && !c.contrasted && c.at.Before(last) {
+	if last := t.contrasts[kind]; !c.cleared && !c.contrasted && c.at.Before(last) {
 		c.contrasted, c.contrastedAt = true, last
 	}
 	return c
@@ -260,8 +283,9 @@
 	began := t.lastBegin(partID, p)
 	becameSound := p.isRequest && !p.wasSound && !began.IsZero()
 	p.wasSound = p.wasSound || becameSound
-	after = t.refineCrash(began, after)
-	t.noteOpen(after)
+	kind := p.kindOf(after)
+	after = t.refineCrash(kind, began, after)
+	t.noteOpen(kind, after)
 	p.crashes[id] = after
 	if len(p.crashes) > maxCrashes {
 		p.dropExcess()
@@ -308,76 +332,3 @@
 	t.markChange(p)
 	p.ownRevision = t.revision
 }
-
-// lastEvidence returns the time of the last crash that is not cleared, or of the
-// last probe if that is later.
-func (p *part) lastEvidence() time.Time {
-	last := p.probedAt
-	for _, c := range p.crashes {
-		if !c.cleared && c.at.After(last) {
-			last = c.at
-		}
-	}
-	return last
-}
-
-// unclearedCrashes returns the number of crashes that are not cleared.
-func (p *part) unclearedCrashes() int {
-	count := 0
-	for _, c := range p.crashes {
-		if !c.cleared {
-			count++
-		}
-	}
-	return count
-}
-
-// dropExcess keeps the table within maxParts.
-func (t *Table) dropExcess() {
-	if len(t.parts) <= maxParts {
-		return
-	}
-	type ranked struct {
-		id        uint64
-		uncleared int
-		last      time.Time
-	}
-	ranks := make([]ranked, 0, len(t.parts))
-	for id, p := range t.parts {
-		ranks = append(ranks, ranked{id, p.unclearedCrashes(), p.lastEvidence()})
-	}
-	slices.SortFunc(ranks, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.uncleared, b.uncleared), a.last.Compare(b.last), cmp.Compare(a.id, b.id))
-	})
-	for _, least := range ranks[:len(ranks)-partsAfterDrop] {
-		delete(t.parts, least.id)
-	}
-	t.verdict.levels = nil
-}
-
-// Expire drops what is too old.
-func (t *Table) Expire(now time.Time) {
-	for _, begins := range []map[uint64]time.Time{t.beginsByPart, t.beginsByService} {
-		maps.DeleteFunc(begins, func(_ uint64, began time.Time) bool { return now.Sub(began) > beginRetention })
-	}
-	t.beginsByRequest.expire(now)
-	levels := t.levels(now)
-	t.verdict.levels = nil
-	for id, p := range t.parts {
-		for crashID, c := range p.crashes {
-			if c.cleared && now.Sub(c.at) > HoldTime {
-				delete(p.crashes, crashID)
-			}
-		}
-		last, limit := p.lastEvidence(), HoldTime
-		if levels[id] == LevelQuarantined {
-			limit = quarantineRetention
-			if p.askedAt.After(last) {
-				last = p.askedAt
-			}
-		}
-		if len(p.crashes) == 0 || p.unclearedCrashes() > 0 && now.Sub(last) > limit {
-			delete(t.parts, id)
-		}
-	}
-}
--- a/internal/quarantiner/traits.go
+++ b/internal/quarantiner/traits.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -18,16 +17,6 @@
 	Parts []uint64
 }
 
-// IsZero reports whether there are no traits.
-func (t Traits) IsZero() bool {
-	return t.Request == 0 && len(t.Parts) == 0
-}
-
-// has reports whether an id is among the traits.
-func (t Traits) has(id uint64) bool {
-	return t.Request == id && id != 0 || slices.Contains(t.Parts, id)
-}
-
 // each calls visit with every trait.
 func (t Traits) each(visit func(id uint64, isRequest bool)) {
 	if t.Request != 0 {
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -92,7 +92,7 @@
 // another hold.
 func (t *Table) Admit(now time.Time, traits Traits, mayProbe func(part uint64) bool) Admission {
 	admission := Admission{Level: t.Level(now, traits)}
-	t.recent.add(traits)
+	t.recent.add(traits.Parts)
 	if admission.Level == LevelSuspected {
 		admission.RetryAfter = t.holdBack(now, traits, t.levels(now))
 		admission.HeldBack = admission.RetryAfter > 0
