quarantiner: an innocent request does not explain the culprit's crashes away

A request that has never been sound is now left out while a suspected part was at all of its crashes and at two more, not only while that part is about to be quarantined itself. The request is held back meanwhile.

--- a/internal/quarantiner/judge.go
+++ b/internal/quarantiner/judge.go
@@ -24,7 +24,7 @@
 	settled := now.Add(-settleTime)
 	for {
 		parts := history.leadingParts(suspects, levels, settled)
-		requests := history.repeatedRequests(suspects, levels, settled, parts)
+		requests := history.repeatedRequests(suspects, levels, settled)
 		convicted := requests
 		if len(requests) == 0 {
 			convicted = parts
@@ -93,15 +93,22 @@
 
 // repeatedRequests returns, of the requests that have never been sound and whose crashes
 // are enough to quarantine them, those with the most. Requests are left out whose crashes
-// are all those of a leading part that has crashed servers without them.
-func (h *history) repeatedRequests(suspects map[uint64]*part, levels map[uint64]Level, settled time.Time, leadingParts []uint64) (requests []uint64) {
+// are all those of a suspected part that has crashed servers without them: the part explains
+// more, and the request would explain the part's crashes away.
+func (h *history) repeatedRequests(suspects map[uint64]*part, levels map[uint64]Level, settled time.Time) (requests []uint64) {
+	var parts []*part
+	for id, p := range suspects {
+		if !p.isRequest && levels[id] != LevelQuarantined {
+			parts = append(parts, p)
+		}
+	}
 	most := quarantiningCrashes
 	for id, p := range suspects {
 		if levels[id] == LevelQuarantined || !p.isNeverSound() {
 			continue
 		}
 		crashes := h.count(p, settled, p.counts(settled))
-		if crashes < most || slices.ContainsFunc(leadingParts, func(part uint64) bool { return h.isPartOfMore(p, suspects[part]) }) {
+		if crashes < most || slices.ContainsFunc(parts, func(other *part) bool { return h.isPartOfMore(p, other) }) {
 			continue
 		}
 		if crashes > most {
--- a/internal/quarantiner/request_test.go
+++ b/internal/quarantiner/request_test.go
@@ -104,6 +104,17 @@
 			t.RecordSoundBegin(start.Add(5*time.Second), "s", request(9999))
 			return 5*time.Second + settleTime
 		}, request(60, popular), LevelSuspected},
+		{"a part that crashes servers, at which an innocent request was three times", func(t *Table) time.Duration {
+			for i := range 5 { // too close to each other to accuse the part
+				at := start.Add(time.Duration(i) * crashWindow / 10)
+				t.RecordCrash(at, CrashID(i+1), "s", request(uint64(80+i), rare))
+				if i < 3 {
+					t.RecordCrash(at, CrashID(i+1), "s", request(60))
+				}
+			}
+			contrast(t, time.Second)
+			return time.Second + settleTime
+		}, request(60), LevelSuspected},
 		{"three culprits at once", func(t *Table) time.Duration {
 			for i := range 9 {
 				t.RecordCrash(start.Add(time.Duration(i)*50*time.Millisecond), CrashID(i+1), "s", request(culprit+uint64(i%3), popular))
