placer: a server that takes no request replaces a failing one among the ejected

Callers of a region with two servers got 503 declined for seconds: one server broke off some answers and was ejected, the other crashed, and since only half of the servers may be ejected, all requests went to the one that accepts no connections.

A server that cannot be connected to is now ejected even then, and the ejection of the one that fails least ends instead.

--- a/internal/placer/health.go
+++ b/internal/placer/health.go
@@ -18,6 +18,8 @@
 	// one. It sets the length of the next ejection.
 	recentEjections int
 	ejectedUntil    time.Time
+	// unreachable means that the last request could not be sent.
+	unreachable bool
 	// ejectedByPeers means that several instances of this failure domain have ejected
 	// the server.
 	ejectedByPeers bool
@@ -61,6 +63,7 @@
 // the service. A server that cannot be connected to, or that another instance of
 // this failure domain has ejected, is ejected at its first failure.
 func (s *server) recordOutcome(now time.Time, outcome Outcome, mayEject bool, othersRate float64) {
+	s.unreachable = outcome == OutcomeUnreachable
 	switch outcome {
 	case OutcomeAbandoned, OutcomeDeclined:
 		return
@@ -133,6 +136,25 @@
 	return sum / float64(max(count, 1))
 }
 
+// readmitFailing ends the ejection of a server that fails some requests, so that one of the
+// same service can be ejected that takes none. It reports whether there was one.
+func (p *Placer) readmitFailing(now time.Time, service string) bool {
+	var best *server
+	for _, s := range p.serversByName {
+		if s.Service != service || s.State != registrar.StateReady || s.Silent || s.unreachable || !now.Before(s.ejectedUntil) {
+			continue
+		}
+		if best == nil || s.failureRate < best.failureRate || s.failureRate == best.failureRate && s.nameHash < best.nameHash {
+			best = s
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.ejectedUntil, best.loadChanged = now, true
+	return true
+}
+
 // mayEject reports whether enough servers of the service are left if a failing one
 // is ejected. Those that have named limits cannot take its load.
 func (p *Placer) mayEject(now time.Time, failing *server) bool {
--- a/internal/placer/health_test.go
+++ b/internal/placer/health_test.go
@@ -59,3 +59,25 @@
 	}
 	assert.Assert(t, ejected < 3000*4/5, "%d of %d", ejected, 3000*4)
 }
+
+// TestUnreachableServerReplacesFailingOne has one of two servers break off its answers and
+// the other accept no connections. Only so many servers may be ejected, and the one that
+// still answers some requests must not be, while all go to the one that answers none.
+func TestUnreachableServerReplacesFailingOne(t *testing.T) {
+	p := newPlacer(2)
+	failing, unreachable := engineServer(0).Name, engineServer(1).Name
+	now, placed := start, map[string]int{}
+	for range 300 {
+		now = now.Add(20 * time.Millisecond)
+		request := sharedPromptRequest(now, 1)
+		decision := p.Place(now, request)
+		assert.Assert(t, decision.Server != nil)
+		outcome := OutcomeFailed
+		if decision.Server.Name == unreachable {
+			outcome = OutcomeUnreachable
+		}
+		placed[decision.Server.Name]++
+		p.Finish(now.Add(10*time.Millisecond), request.ID, outcome)
+	}
+	assert.Assert(t, placed[failing] > 200, "%v", placed)
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -333,5 +333,6 @@
 	}
 	s.ownLoad.subtract(placed.load)
 	s.loadChanged = true
-	s.recordOutcome(now, outcome, p.mayEject(now, s), p.othersFailureRate(s))
+	mayEject := p.mayEject(now, s) || outcome == OutcomeUnreachable && p.readmitFailing(now, s.Service)
+	s.recordOutcome(now, outcome, mayEject, p.othersFailureRate(s))
 }
