forwarder, platform: a server that another one has replaced is not asked again and again

Callers got 503 declined for seconds while a server of the region answered others: servers had started again under new names while all control instances were down, so that nobody could learn the names, and those addresses answered 421 to all that was meant for their predecessors. A server that declines counts as busy and is not ejected, while the one that still answered most was, since it broke off some.

421 says that another server is at the address now.

TestReplacedServerCountsAsDeclining fails before.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -151,6 +151,8 @@
 	ID string
 	// NotRun means that the server states that it did not run the request.
 	NotRun bool
+	// OtherServer means that another server than the named one is at its address now.
+	OtherServer bool
 	// Signed means that the response carries a server's signature.
 	Signed bool
 	// Notice is what the server says about itself.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -50,7 +50,8 @@
 
 func (testDialect) DecodeResponse(response *http.Response) ResponseInfo {
 	return ResponseInfo{
-		ID: response.Header.Get("Id"), NotRun: response.Header.Get("Not-Run") != "", Signed: response.Header.Get("Signature") != "",
+		ID: response.Header.Get("Id"), NotRun: response.Header.Get("Not-Run") != "",
+		OtherServer: response.Header.Get("Other-Server") != "", Signed: response.Header.Get("Signature") != "",
 	}
 }
 
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -243,6 +243,9 @@
 		return resultUnknown, placer.OutcomeFailed
 	case info.NotRun:
 		call.record.note = "server did not run the request, status " + strconv.Itoa(response.StatusCode)
+		if info.OtherServer {
+			return resultDeclined, placer.OutcomeUnreachable
+		}
 		return resultDeclined, placer.OutcomeDeclined
 	case !info.Signed || info.ID == "" || response.Header.Get("Content-Encoding") != "":
 		call.record.note = "response without signature or request id, or with a content encoding"
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -310,7 +310,8 @@
 	// OutcomeDeclined means that the server reported that it did not run the
 	// request.
 	OutcomeDeclined
-	// OutcomeUnreachable means that no connection to the server could be opened.
+	// OutcomeUnreachable means that no connection to the server could be opened, or that
+	// another server is at its address.
 	OutcomeUnreachable
 	// OutcomeFailed means that the server gave no usable answer.
 	OutcomeFailed
