controller: the quarantine outlives a kill of all instances

When all entry and control instances ended at the same moment, as in a loss of power, the table was gone, and a request that crashes servers had to end three more before it was refused again.

Control instances write what has two crashes or more into a file of their data folder, at most once a second and only after a change, and read it before they serve. Ages go on from the time of day of the write.

Measured: TestQuarantineOutlivesAllInstances fails before.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -127,6 +127,9 @@
 		}
 		err = c.openGroup(disk)
 	}
+	if err == nil {
+		c.loadQuarantine(disk)
+	}
 	return trace.Wrap(err, "data-folder")
 }
 
@@ -167,6 +170,7 @@
 		{Name: "exchange", Run: c.runExchange},
 		{Name: "spread", Run: c.runForwardAndExpire},
 		{Name: "quarantine", Run: c.runQuarantine},
+		{Name: "quarantine-file", Run: c.runSaveQuarantine},
 		{Name: "origins", Run: c.runOrigins},
 	}
 }
--- a/internal/controller/quarantine_test.go
+++ b/internal/controller/quarantine_test.go
@@ -127,3 +127,20 @@
 	assert.Assert(t, b.mergeEvidence(crashesOfPart(8)))
 	assert.Assert(t, len(b.localTables(a.localTables(0).QuarantineDigest).Quarantine) > 0)
 }
+
+// TestQuarantineOutlivesAllInstances stops all control instances at once, while no entry
+// instance runs that could tell them again.
+func TestQuarantineOutlivesAllInstances(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.waitDefined(f.controls[0], "1")
+	assert.Assert(t, f.controls[0].mergeEvidence(crashesOfPart(7)))
+	time.Sleep(3 * time.Second)
+	for _, c := range f.controls {
+		c.stop()
+	}
+	for i := range f.controls {
+		f.controls[i] = f.start(f.controls[i].settings)
+	}
+	assert.Equal(t, knownLevel(f, f.controls[0], 7), quarantiner.LevelQuarantined)
+}
--- a/internal/quarantiner/exchange.go
+++ b/internal/quarantiner/exchange.go
@@ -18,6 +18,25 @@
 	return t.export(now, func(p *part) bool { return p.ownRevision > revision })
 }
 
+// Accused returns the parts that are suspected or may soon be, in no particular order.
+func (t *Table) Accused(now time.Time) []Part {
+	return t.export(now, func(p *part) bool { return p.unclearedCrashes() >= suspectingCrashes })
+}
+
+// Delay adds to the ages of a part some time that has passed since it was exported.
+func (p *Part) Delay(passed time.Duration) {
+	for i := range p.Crashes {
+		p.Crashes[i].Age += passed
+		if p.Crashes[i].Contrasted {
+			p.Crashes[i].ContrastAge += passed
+		}
+	}
+	p.ProbeAge += passed
+	if p.AskedAge >= 0 {
+		p.AskedAge += passed
+	}
+}
+
 func (t *Table) export(now time.Time, include func(*part) bool) []Part {
 	var exported []Part
 	for id, p := range t.parts {
