authenticator, sender: a key in Accept-Language does not reach a backend server

A caller's key that was repeated in the header Accept-Language went on to the backend server: the check for repeated keys had a list of forwarded headers of its own, without it. The sender and the check now share one list.

--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -255,8 +255,8 @@
 	return r.Header.Get("X-Api-Key")
 }
 
-// ForwardsSecret reports whether a request repeats its key in the URL, the headers
-// Content-Type and Accept, or the body, where a backend server would see it.
+// ForwardsSecret reports whether a request repeats its key in the URL, in one of
+// exchanger.ForwardedHeaders, or in the body, where a backend server would see it.
 func ForwardsSecret(x *exchanger.Exchange) bool {
 	if x.Secret == "" {
 		return false
@@ -266,7 +266,8 @@
 		uri += decoded
 	}
 	inURI := strings.Contains(uri, x.Secret)
-	inForwardedHeaders := strings.Contains(x.Request.Header.Get("Content-Type"), x.Secret) ||
-		strings.Contains(x.Request.Header.Get("Accept"), x.Secret)
+	inForwardedHeaders := slices.ContainsFunc(exchanger.ForwardedHeaders, func(name string) bool {
+		return strings.Contains(x.Request.Header.Get(name), x.Secret)
+	})
 	return inURI || inForwardedHeaders || bytes.Contains(x.Body, []byte(x.Secret))
 }
--- a/internal/exchanger/refusal.go
+++ b/internal/exchanger/refusal.go
@@ -37,6 +37,10 @@
 	HeaderServerVersion = "Boragehead-Server-Version"
 )
 
+// ForwardedHeaders are the only request headers of the caller that are forwarded to a
+// backend server. The headers that carry keys are not among them.
+var ForwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language"}
+
 // Code identifies the reason for a refusal. Codes are part of the API.
 type Code string
 
--- a/internal/sender/attempt.go
+++ b/internal/sender/attempt.go
@@ -68,10 +68,6 @@
 	}
 }
 
-// forwardedHeaders are the only request headers of the caller that are forwarded.
-// The headers that carry keys are not among them.
-var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language"}
-
 // returnedHeaders are the only response headers that are returned to the caller.
 var returnedHeaders = []string{"Content-Type", "Content-Language", "Retry-After", exchanger.HeaderOutcome, exchanger.HeaderUsage}
 
@@ -193,7 +189,7 @@
 	}
 	// Without GetBody the transport cannot resend the body by itself.
 	request.GetBody = nil
-	for _, name := range forwardedHeaders {
+	for _, name := range exchanger.ForwardedHeaders {
 		if value := x.Request.Header.Get(name); value != "" {
 			request.Header.Set(name, value)
 		}
