placer: the loads of the last silent peer are forgotten

An instance whose only peer of the region had ended went on counting what that had placed on the servers, and its ejections, for ever: stale peers were dropped only with the report of another one. Callers were refused or sent to other regions for load that was not there.

TestLoadsOfLastSilentPeerAreForgotten fails before.

--- a/internal/placer/loads_test.go
+++ b/internal/placer/loads_test.go
@@ -131,3 +131,15 @@
 	later := start.Add(maxEjectionTime)
 	assert.Equal(t, len(p.FullLoads(later)), 0)
 }
+
+// TestLoadsOfLastSilentPeerAreForgotten guards against an instance that goes on counting
+// what its only peer had placed on a server before it ended, since nobody is left whose
+// reports would drop it.
+func TestLoadsOfLastSilentPeerAreForgotten(t *testing.T) {
+	p := newPlacer(1)
+	p.SetPeerLoads(start, "b", true, map[string]Load{"engines-0": {Running: 40, EjectedBy: 1}})
+	assert.Equal(t, p.serversByName["engines-0"].totalLoad().Running, int32(40))
+	later := start.Add(peerLoadTTL + time.Second)
+	p.SetServers(later, newView(engineService()), p.announcedServers())
+	assert.Equal(t, p.serversByName["engines-0"].totalLoad(), Load{})
+}
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -173,6 +173,7 @@
 		s, listed := p.serversByName[start.Name]
 		return listed && s.StartedAtMillis == start.StartedAtMillis
 	})
+	p.dropStalePeers(now)
 	p.sumPeerLoads(now)
 }
 
