--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -19,6 +19,7 @@
 	"github.com/boragehead/boragehead/internal/placer"
 	"github.com/boragehead/boragehead/internal/quarantiner"
 	"github.com/boragehead/boragehead/internal/registrar"
+	"github.com/boragehead/boragehead/internal/warden"
 )
 
 // partsDialect is a testDialect whose requests have the prompt parts that the
@@ -229,33 +230,10 @@
 }
 
 // testQuarantine is the quarantine of a single instance.
-type testQuarantine struct {
-	mu    sync.Mutex
-	table quarantiner.Table
-}
+type testQuarantine struct{ warden.Warden }
 
 func (q *testQuarantine) Admit(traits quarantiner.Traits) quarantiner.Admission {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.table.Admit(time.Now(), traits, func(uint64) bool { return true })
-}
-
-func (q *testQuarantine) Level(traits quarantiner.Traits) quarantiner.Level {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.table.Level(time.Now(), traits)
-}
-
-func (q *testQuarantine) RecordCrash(at time.Time, server registrar.Server, traits quarantiner.Traits) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.table.RecordCrash(at, quarantiner.NewCrashID(server.Name, server.StartedAtMillis), server.Service, traits)
-}
-
-func (q *testQuarantine) RecordSoundBegin(began time.Time, server registrar.Server, traits quarantiner.Traits) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.table.RecordSoundBegin(began, server.Service, traits)
+	return q.Warden.Admit(traits, "a", func() []string { return []string{"a"} })
 }
 
 // askOnce sends one request and returns the status of the response, or 0.
