quarantiner: what a request explains still counts for a part that crashed servers without it

Three innocent requests had been retried onto servers that the part crashed, within 0.3 s, and were quarantined; the evidence against the part of one of these crashes was lost, so that it was not at all of theirs, and their crashes no longer counted for it. What was left was not enough to quarantine it, and it was not held back, since that counted the explained crashes as decided.

A crash that a request explains still counts for a part that was at two crashes without the request, and explained crashes do not count in the decision to hold a part back.

Measured: the case of TestLevelsOfRequests fails before.

--- a/internal/quarantiner/holdback.go
+++ b/internal/quarantiner/holdback.go
@@ -66,7 +66,7 @@
 		if !known || levels[id] != LevelSuspected {
 			return
 		}
-		last, length := p.holdBack()
+		last, length := p.holdBack(t.verdict.history)
 		// Holding back what nearly all requests have leaves no others that can begin.
 		if length > 0 && (p.isNeverSound() || t.recent.share(id) <= maxHoldBackShare) {
 			hold = max(hold, length-now.Sub(last))
@@ -77,12 +77,12 @@
 
 // holdBack returns for how long a part must be held back after its last crash; 0 if it
 // may run.
-func (p *part) holdBack() (last time.Time, length time.Duration) {
+func (p *part) holdBack(history *history) (last time.Time, length time.Duration) {
 	switch {
 	case p.isRequest && p.wasSound:
 		return last, 0 // it clears itself
 	case !p.isRequest:
-		last, undecided := p.lastUndecided()
+		last, undecided := p.lastUndecided(history)
 		if !undecided {
 			return last, 0
 		}
@@ -96,11 +96,12 @@
 }
 
 // lastUndecided returns the time of the last crash of a part, and whether its crashes
-// would quarantine it if answers of the same service without it had begun since.
-func (p *part) lastUndecided() (last time.Time, undecided bool) {
+// would quarantine it if answers of the same service without it had begun since. Crashes
+// that are explained do not count.
+func (p *part) lastUndecided(history *history) (last time.Time, undecided bool) {
 	var times, contrasted []time.Time
-	for _, c := range p.crashes {
-		if c.cleared {
+	for id, c := range p.crashes {
+		if c.cleared || !history.isUnexplained(p, id) {
 			continue
 		}
 		times = append(times, c.at)
--- a/internal/quarantiner/judge.go
+++ b/internal/quarantiner/judge.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// judge returns the level of each part that is not clear. The parts with the most
+// judge returns the level of each part that is not clear, and what is left of the history. The parts with the most
 // separate crashes are quarantined first; their crashes then no longer count
 // against the parts of other requests that were at the same servers. A request goes
 // before its parts unless these have crashed servers in other requests, too.
-func (t *Table) judge(now time.Time) map[uint64]Level {
+func (t *Table) judge(now time.Time) (map[uint64]Level, *history) {
 	levels, suspects := map[uint64]Level{}, map[uint64]*part{}
 	for id, p := range t.parts {
 		if p.unclearedCrashes() >= suspectingCrashes {
@@ -18,7 +18,7 @@
 		}
 	}
 	if len(suspects) == 0 {
-		return levels
+		return levels, &history{}
 	}
 	history := t.history()
 	settled := now.Add(-settleTime)
@@ -44,7 +44,7 @@
 			levels[id] = LevelSuspected
 		}
 	}
-	return levels
+	return levels, history
 }
 
 // isSuspected reports whether two crashes under a part are left that nothing explains.
@@ -157,6 +157,8 @@
 // history holds all known crashes that no quarantined part explains.
 type history struct {
 	times map[CrashID]time.Time
+	// byRequest holds the requests that explain crashes.
+	byRequest map[CrashID]*part
 	// windows holds the start of the window in which a crash lies, and sizes how
 	// many crashes lie in each.
 	windows map[CrashID]time.Time
@@ -193,13 +195,40 @@
 // explain removes the crashes of a quarantined part.
 func (h *history) explain(p *part) {
 	for id, c := range p.crashes {
-		if !c.cleared {
-			delete(h.times, id)
+		if c.cleared {
+			continue
+		}
+		delete(h.times, id)
+		if p.isRequest {
+			if h.byRequest == nil {
+				h.byRequest = map[CrashID]*part{}
+			}
+			h.byRequest[id] = p
 		}
 	}
 	h.divide()
 }
 
+// isUnexplained reports whether a crash still speaks against a part. A request explains its
+// crashes for all but the parts that have crashed servers without it, too: it may be an
+// innocent one that died with their servers.
+func (h *history) isUnexplained(p *part, id CrashID) bool {
+	if _, exists := h.times[id]; exists {
+		return true
+	}
+	request, explained := h.byRequest[id]
+	if !explained || p.isRequest {
+		return false
+	}
+	others := 0
+	for other, c := range p.crashes {
+		if _, shared := request.crashes[other]; !shared && !c.cleared {
+			others++
+		}
+	}
+	return others >= minCrashesOfOthers
+}
+
 // isSuspicious reports whether no sound begin speaks for the part.
 func (c crash) isSuspicious() bool {
 	return !c.cleared
@@ -235,8 +264,11 @@
 	}
 	var times []time.Time
 	for id, c := range p.crashes {
+		if !counts(c) || c.at.After(until) {
+			continue
+		}
 		window, exists := h.windows[id]
-		if exists && counts(c) && !c.at.After(until) && 2*own[window] >= h.sizes[window] {
+		if exists && 2*own[window] >= h.sizes[window] || !exists && h.isUnexplained(p, id) {
 			times = append(times, c.at)
 		}
 	}
--- a/internal/quarantiner/request_test.go
+++ b/internal/quarantiner/request_test.go
@@ -115,6 +115,20 @@
 			contrast(t, time.Second)
 			return time.Second + settleTime
 		}, request(60), LevelSuspected},
+		{"a part that crashes servers, beside an innocent request at one more", func(t *Table) time.Duration {
+			for i := range 4 { // the evidence against the part of the first crash is lost
+				at := start.Add(time.Duration(i) * crashWindow / 10)
+				t.RecordCrash(at, CrashID(i+1), "s", request(60))
+				if i > 0 {
+					t.RecordCrash(at, CrashID(i+1), "s", request(uint64(80+i), rare))
+				}
+			}
+			for i := range 2 {
+				t.RecordCrash(start.Add(time.Duration(1+i)*time.Second), CrashID(10+i), "s", request(uint64(90+i), rare))
+			}
+			t.RecordSoundBegin(start.Add(2500*time.Millisecond), "s", request(9999, popular))
+			return 5 * time.Second
+		}, request(99, rare), LevelQuarantined},
 		{"three culprits at once", func(t *Table) time.Duration {
 			for i := range 9 {
 				t.RecordCrash(start.Add(time.Duration(i)*50*time.Millisecond), CrashID(i+1), "s", request(culprit+uint64(i%3), popular))
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -60,6 +60,7 @@
 // verdict is the level of each part that is not clear, at some time.
 type verdict struct {
 	levels   map[uint64]Level
+	history  *history
 	revision uint64
 	at       time.Time
 }
@@ -167,7 +168,8 @@
 		lifetime = minVerdictLifetime
 	}
 	if v.levels == nil || now.Sub(v.at).Abs() >= lifetime {
-		*v = verdict{levels: t.judge(now), revision: t.revision, at: now}
+		levels, history := t.judge(now)
+		*v = verdict{levels: levels, history: history, revision: t.revision, at: now}
 	}
 	return v.levels
 }
