quarantiner: a verdict costs a small share of a processor in an outbreak

With whole requests among the suspects a verdict looked at all parts for each request, and twice at each part: 3.3 ms for 263 suspects and 598 ms for 1,775, up to a hundred times a second while the table changes, which is more than a small instance has.

Requests are compared only with the parts of one of their crashes, parts are judged only if no request is, and a verdict is used 0.5 ms longer for each suspect. The verdicts are the same.

--- a/internal/quarantiner/judge.go
+++ b/internal/quarantiner/judge.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// judge returns the level of each part that is not clear, and what is left of the history. The parts with the most
-// separate crashes are quarantined first; their crashes then no longer count
-// against the parts of other requests that were at the same servers. A request goes
-// before its parts unless these have crashed servers in other requests, too.
+// judge returns the level of each part that is not clear, and what is left of the history.
+// The parts with the most separate crashes are quarantined first; their crashes then no
+// longer count against the parts of other requests that were at the same servers. A request
+// goes before its parts unless these have crashed servers in other requests, too.
 func (t *Table) judge(now time.Time) (map[uint64]Level, *history) {
 	levels, suspects := map[uint64]Level{}, map[uint64]*part{}
 	for id, p := range t.parts {
@@ -21,13 +21,12 @@
 		return levels, &history{}
 	}
 	history := t.history()
+	history.suspects = len(suspects)
 	settled := now.Add(-settleTime)
 	for {
-		parts := history.leadingParts(suspects, levels, settled)
-		requests := history.repeatedRequests(suspects, levels, settled)
-		convicted := requests
-		if len(requests) == 0 {
-			convicted = parts
+		convicted := history.repeatedRequests(suspects, levels, settled)
+		if len(convicted) == 0 {
+			convicted = history.leadingParts(suspects, levels, settled)
 		}
 		if len(convicted) == 0 {
 			break
@@ -96,10 +95,13 @@
 // are all those of a suspected part that has crashed servers without them: the part explains
 // more, and the request would explain the part's crashes away.
 func (h *history) repeatedRequests(suspects map[uint64]*part, levels map[uint64]Level, settled time.Time) (requests []uint64) {
-	var parts []*part
+	partsByCrash := map[CrashID][]*part{}
 	for id, p := range suspects {
-		if !p.isRequest && levels[id] != LevelQuarantined {
-			parts = append(parts, p)
+		if p.isRequest || levels[id] == LevelQuarantined {
+			continue
+		}
+		for crashID := range p.crashes {
+			partsByCrash[crashID] = append(partsByCrash[crashID], p)
 		}
 	}
 	most := quarantiningCrashes
@@ -108,7 +110,7 @@
 			continue
 		}
 		crashes := h.count(p, settled, p.counts(settled))
-		if crashes < most || slices.ContainsFunc(parts, func(other *part) bool { return h.isPartOfMore(p, other) }) {
+		if crashes < most || slices.ContainsFunc(partsByCrash[h.anyCrash(p)], func(other *part) bool { return h.isPartOfMore(p, other) }) {
 			continue
 		}
 		if crashes > most {
@@ -119,6 +121,17 @@
 	return requests
 }
 
+// anyCrash returns one of the crashes of a part that count, at which each part must have
+// been that was at all of them.
+func (h *history) anyCrash(p *part) CrashID {
+	for id, c := range p.crashes {
+		if _, unexplained := h.times[id]; unexplained && !c.cleared {
+			return id
+		}
+	}
+	return 0
+}
+
 // minCrashesOfOthers is how many crashes a part must have had in other requests to go
 // before a request.
 const minCrashesOfOthers = 2
@@ -156,7 +169,9 @@
 
 // history holds all known crashes that no quarantined part explains.
 type history struct {
-	times map[CrashID]time.Time
+	// suspects is how many parts were judged.
+	suspects int
+	times    map[CrashID]time.Time
 	// byRequest holds the requests that explain crashes.
 	byRequest map[CrashID]*part
 	// windows holds the start of the window in which a crash lies, and sizes how
--- a/internal/quarantiner/request_test.go
+++ b/internal/quarantiner/request_test.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -211,3 +212,31 @@
 		table.RecordSoundBegin(start.Add(time.Duration(i)*time.Millisecond), "s", request(uint64(1_000_000+i), otherPart))
 	}
 }
+
+// BenchmarkJudge measures one verdict in an outbreak: 40 crashes with 15 requests each, of
+// which some come again, and in one of 300 with 30.
+func BenchmarkJudge(b *testing.B) {
+	for _, outbreak := range []struct {
+		name              string
+		crashes, requests int
+		repeated, parts   uint64
+	}{{"40 crashes", 40, 15, 100, 200}, {"300 crashes", 300, 30, 1500, 300}} {
+		b.Run(outbreak.name, func(b *testing.B) {
+			random := rand.New(rand.NewPCG(1, 1))
+			var table Table
+			for i := range outbreak.crashes {
+				at := start.Add(time.Duration(i) * 400 * time.Millisecond)
+				for range outbreak.requests {
+					table.RecordCrash(at, CrashID(i+1), "s", request(1000+random.Uint64N(outbreak.repeated), 1, 2+random.Uint64N(outbreak.parts)))
+				}
+				table.RecordSoundBegin(at.Add(300*time.Millisecond), "s", request(99999, 5000))
+			}
+			now := start.Add(time.Duration(outbreak.crashes)*400*time.Millisecond + settleTime)
+			var judged *history
+			for b.Loop() {
+				_, judged = table.judge(now)
+			}
+			b.ReportMetric(float64(judged.suspects), "suspects")
+		})
+	}
+}
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -50,6 +50,9 @@
 	// change, and minVerdictLifetime how long while it does.
 	verdictLifetime    = 100 * time.Millisecond
 	minVerdictLifetime = 10 * time.Millisecond
+	// verdictTimePerSuspect is how much longer a verdict is used for each part that was
+	// judged, so that judging takes a small share of a processor in an outbreak.
+	verdictTimePerSuspect = 500 * time.Microsecond
 	// maxProbes bounds the probes of a part, so that a part that goes on to crash
 	// servers does so only a few times more.
 	maxProbes = 2
@@ -167,6 +170,9 @@
 	if v.revision != t.revision {
 		lifetime = minVerdictLifetime
 	}
+	if v.history != nil {
+		lifetime = max(lifetime, time.Duration(v.history.suspects)*verdictTimePerSuspect)
+	}
 	if v.levels == nil || now.Sub(v.at).Abs() >= lifetime {
 		levels, history := t.judge(now)
 		*v = verdict{levels: levels, history: history, revision: t.revision, at: now}
