--- a/internal/authenticator/forwards_test.go
+++ b/internal/authenticator/forwards_test.go
@@ -1,6 +1,7 @@
 package authenticator
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -27,7 +28,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			x := &exchanger.Exchange{Request: httptest.NewRequest("POST", test.uri, strings.NewReader(test.body)), Body: []byte(test.body), Secret: secret}
+			x := &exchanger.Exchange{Request: httptest.NewRequest(http.MethodPost, test.uri, strings.NewReader(test.body)), Body: []byte(test.body), Secret: secret}
 			if test.header != "" {
 				x.Request.Header.Set(test.header, "a "+secret)
 			}
