follower: large failure domains collect reports instead of a mesh of beacons

Cause: inside a failure domain every instance sent a beacon to every other one each 50 ms, and summed the loads of all peers at all servers for each complete one. Change: from 16 instances on each reports to the representative of its domain, every 100 ms, and gets digests of the sums, which instances pass on among themselves. Own reports that a digest includes are taken out again, so that the view stays exact. While no digests come, instances look for the next representative as before. Aggregates go from representative to representative. Peers' loads are summed by load, not by pairs of peer and server.

--- a/internal/beaconer/beaconer.go
+++ b/internal/beaconer/beaconer.go
@@ -67,6 +67,12 @@
 	// Aggregate is set if the sender reports for its whole failure domain.
 	// QuotaSpent and Loads are then sums over the instances of the domain.
 	Aggregate *Aggregate `cbor:"z,omitempty"`
+	// Digest is set if the sender tells the instances of its failure domain what it has
+	// collected from all of them.
+	Digest *Digest `cbor:"g,omitempty"`
+	// Forward are the instances to which the receiver passes the beacon on, without this
+	// field.
+	Forward []netip.AddrPort `cbor:"f,omitempty"`
 }
 
 // Aggregate describes the failure domain that a beacon reports for.
@@ -78,6 +84,9 @@
 	Relays []netip.AddrPort `cbor:"r,omitempty"`
 	// Instances is the number of instances that the beacon covers.
 	Instances int `cbor:"i"`
+	// Distributes means that the sender passes beacons of other failure domains on to
+	// the instances of its own.
+	Distributes bool `cbor:"d,omitempty"`
 }
 
 // Instance describes an entry instance and where it is reached.
--- a/internal/follower/beacons.go
+++ b/internal/follower/beacons.go
@@ -40,6 +40,13 @@
 	// limitRepeats is the number of beacons that carry a changed limit of a server, for
 	// the same reason.
 	limitRepeats = 3
+	// In failure domains with a representative that collects, reports and digests are
+	// sent once in collectEvery intervals. One in completeEvery intervals, a report or
+	// digest carries everything. While no digests come, an instance sends to all of its
+	// domain once in searchEvery intervals.
+	collectEvery  = 2
+	completeEvery = 8
+	searchEvery   = 8
 	// instanceRetention is how long beacons are still sent to an entry instance
 	// that is silent.
 	instanceRetention = 30 * time.Second
@@ -62,7 +69,10 @@
 // ReceiveBeacons receives the other entry instances' beacons until the context
 // ends.
 func (f *Follower) ReceiveBeacons(ctx context.Context) error {
-	return f.beaconSocket.Run(ctx, f.receiveBeacon)
+	return f.beaconSocket.Run(ctx, func(now time.Time, beacon beaconer.Beacon) {
+		f.receiveBeacon(now, beacon)
+		f.send(f.passOn(now, beacon))
+	})
 }
 
 // outgoingBeacon is a beacon and the addresses that it is sent to.
@@ -75,7 +85,14 @@
 // except that a failure domain's aggregates keep to their intervals unless its
 // representative is stopping.
 func (f *Follower) sendBeacons(toAll bool) {
-	for _, outgoing := range f.dueBeacons(toAll) {
+	f.send(f.dueBeacons(toAll))
+}
+
+func (f *Follower) send(beacons []outgoingBeacon) {
+	for _, outgoing := range beacons {
+		if len(outgoing.addresses) == 0 {
+			continue
+		}
 		if err := f.beaconSocket.Send(outgoing.beacon, outgoing.addresses...); err != nil {
 			klog.V(2).InfoS("cannot send beacon", "err", logger.ErrorText(err))
 		}
@@ -163,24 +180,22 @@
 }
 
 // perDomainBeacons returns the beacons of a large fleet, in which every
-// instance sends to those of its failure domain, and the representative of the
-// domain also sends aggregates to all others.
+// instance sends to those of its failure domain, or reports to its representative, and
+// the representative also sends aggregates to all other domains.
 func (f *Follower) perDomainBeacons(now time.Time, toAll bool, base beaconer.Beacon) []outgoingBeacon {
-	ownDomain := outgoingBeacon{beacon: f.neighbourBeacon(now, toAll || f.beaconSequence%domainFullBeaconEvery == 0, base)}
 	represents := f.updateRepresentative(now)
 	resigning := !represents && f.ownDomain.representingSince != 0 // this representative is stopping
+	outgoing := f.ownDomainBeacons(now, toAll, represents, base)
 	ownRegion, otherRegions := outgoingBeacon{beacon: base}, outgoingBeacon{beacon: base}
-	for _, other := range f.otherInstances {
-		switch {
-		case other.FailureDomain == f.self.FailureDomain:
-			ownDomain.addresses = append(ownDomain.addresses, other.PeerAddress)
-		case !represents && !resigning:
-		case other.Region == f.self.Region:
-			if resigning || f.beaconSequence%aggregateEvery == 0 {
+	regionDue, otherRegionsDue := f.beaconSequence%aggregateEvery == 0, f.beaconSequence%otherRegionAggregateEvery == 0
+	if resigning || represents && (regionDue || otherRegionsDue) {
+		for _, other := range f.aggregateReceivers(now, resigning) {
+			switch {
+			case other.Region != f.self.Region && (resigning || otherRegionsDue):
+				otherRegions.addresses = append(otherRegions.addresses, other.PeerAddress)
+			case other.Region == f.self.Region && (resigning || regionDue):
 				ownRegion.addresses = append(ownRegion.addresses, other.PeerAddress)
 			}
-		case resigning || f.beaconSequence%otherRegionAggregateEvery == 0:
-			otherRegions.addresses = append(otherRegions.addresses, other.PeerAddress)
 		}
 	}
 	if len(ownRegion.addresses)+len(otherRegions.addresses) > 0 {
@@ -189,7 +204,7 @@
 	if resigning {
 		f.ownDomain.representingSince = 0
 	}
-	return []outgoingBeacon{ownDomain, ownRegion, otherRegions, f.limitBeacon(now, base)}
+	return append(outgoing, ownRegion, otherRegions, f.limitBeacon(now, base))
 }
 
 // fillAggregates fills in the aggregates of this failure domain that go to the
@@ -222,6 +237,22 @@
 		return
 	}
 	sameDomain := beacon.FailureDomain == f.self.FailureDomain
+	if sameDomain {
+		f.placer.RecordNeighbour(now, beacon.Name)
+	}
+	if beacon.Digest != nil {
+		if sameDomain {
+			f.receiveDigest(now, beacon)
+		}
+		return
+	}
+	if sameDomain && f.followsDigests(now) {
+		f.placer.AddCacheFills(now, true, beacon.CacheFills)
+		return
+	}
+	if sameDomain {
+		f.ownDomain.digests.record(beacon.Name, beacon.Sequence)
+	}
 	if beacon.Partial {
 		f.placer.ApplyPeerChanges(now, beacon.Name, beacon.Loads)
 		f.placer.AddCacheFills(now, sameDomain, beacon.CacheFills)
--- a/internal/follower/domains.go
+++ b/internal/follower/domains.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"net/netip"
 	"time"
 
@@ -58,6 +59,9 @@
 // use as its representative.
 type domainAggregate struct {
 	spentByInstance map[string]instanceSpending
+	digests         digestWriter
+	// spreadTurn counts the beacons that were spread in the domain.
+	spreadTurn uint64
 	// representingSince is when this instance became the representative, in
 	// nanoseconds of Unix time; 0 if it is not.
 	representingSince int64
@@ -73,14 +77,19 @@
 
 // recordSpent records what an instance of the domain reports as spent. A new
 // incarnation counts from 0 again, so what the last one spent is added to the
-// earlier ones.
+// earlier ones. What an instance had spent before its first report does not count: the
+// sum over the domain would jump by it, and other instances would take that for
+// spending of this moment.
 func (d *domainAggregate) recordSpent(beacon beaconer.Beacon) {
-	known := d.spentByInstance[beacon.Name]
+	known, reported := d.spentByInstance[beacon.Name]
+	if !reported {
+		known = instanceSpending{incarnation: beacon.Incarnation, earlier: map[string]float64{}}
+		for workspace, amount := range beacon.QuotaSpent {
+			known.earlier[workspace] = -amount
+		}
+	}
 	if beacon.Incarnation > known.incarnation {
 		earlier := maps.Clone(known.earlier)
-		if earlier == nil {
-			earlier = map[string]float64{}
-		}
 		addAll(earlier, known.current)
 		known = instanceSpending{incarnation: beacon.Incarnation, earlier: earlier}
 	}
@@ -100,27 +109,43 @@
 	return len(f.otherInstances)+1 >= largeFleetSize
 }
 
-// updateRepresentative decides whether this instance represents its failure
-// domain, logs a change and reports the result. The representative is the ready
-// instance whose name has the lowest hash among those heard there. f.mu must be
-// held.
-func (f *Follower) updateRepresentative(now time.Time) bool {
-	ownHash := xxhash.Sum64String(f.self.Name)
+// representative returns the other instance that represents this failure domain: the
+// ready one whose name has the lowest hash among those heard there. It reports false if
+// that is this instance, or none. f.mu must be held.
+func (f *Follower) representative(now time.Time) (entryInstance, bool) {
+	var best entryInstance
+	lowest, found := xxhash.Sum64String(f.self.Name), false
+	if f.lifecycle != beaconer.StateReady {
+		lowest = math.MaxUint64
+	}
 	for name, other := range f.otherInstances {
 		candidate := other.FailureDomain == f.self.FailureDomain && other.state == beaconer.StateReady
-		if candidate && now.Sub(other.lastHeard) < representativeTimeout && xxhash.Sum64String(name) < ownHash {
-			if f.ownDomain.representingSince != 0 {
-				klog.InfoS("no longer representative of failure domain", "domain", f.self.FailureDomain, "speaker", name)
-			}
+		if !candidate || now.Sub(other.lastHeard) >= representativeTimeout {
+			continue
+		}
+		if hash := xxhash.Sum64String(name); hash < lowest {
+			best, lowest, found = other, hash, true
+		}
+	}
+	return best, found
+}
+
+// updateRepresentative decides whether this instance represents its failure
+// domain, logs a change and reports the result. f.mu must be held.
+func (f *Follower) updateRepresentative(now time.Time) bool {
+	if other, found := f.representative(now); found {
+		if f.ownDomain.representingSince != 0 && f.lifecycle == beaconer.StateReady {
+			klog.InfoS("no longer representative of failure domain", "domain", f.self.FailureDomain, "speaker", other.Name)
 			f.ownDomain.representingSince = 0
-			return false
 		}
+		return false
 	}
 	if f.lifecycle != beaconer.StateReady {
 		return false
 	}
 	if f.ownDomain.representingSince == 0 {
 		f.ownDomain.representingSince = now.UnixNano()
+		f.quotas.ForgetPeer(ownDomainPeer) // from now on every instance reports to this one
 		klog.InfoS("now representative of failure domain", "domain", f.self.FailureDomain)
 	}
 	return true
@@ -129,14 +154,7 @@
 // aggregateBeacon turns a beacon of this instance into one of its whole failure
 // domain. f.mu must be held.
 func (f *Follower) aggregateBeacon(now time.Time, beacon beaconer.Beacon) beaconer.Beacon {
-	spent := maps.Clone(beacon.QuotaSpent)
-	if spent == nil {
-		spent = map[string]float64{}
-	}
-	for _, other := range f.ownDomain.spentByInstance {
-		addAll(spent, other.current)
-		addAll(spent, other.earlier)
-	}
+	spent := f.domainSpending(beacon.QuotaSpent)
 	relays := []netip.AddrPort{f.self.RelayAddress}
 	count := 1
 	for _, other := range f.otherInstances {
@@ -148,10 +166,52 @@
 		}
 	}
 	beacon.QuotaSpent = spent
-	beacon.Aggregate = &beaconer.Aggregate{Since: f.ownDomain.representingSince, Relays: relays, Instances: count}
+	beacon.Aggregate = &beaconer.Aggregate{Since: f.ownDomain.representingSince, Relays: relays, Instances: count, Distributes: f.isLargeDomain()}
 	return beacon
 }
 
+// domainSpending returns what all instances of this failure domain have spent, given
+// what this one has. f.mu must be held.
+func (f *Follower) domainSpending(own map[string]float64) map[string]float64 {
+	spent := maps.Clone(own)
+	if spent == nil {
+		spent = map[string]float64{}
+	}
+	for _, other := range f.ownDomain.spentByInstance {
+		addAll(spent, other.current)
+		addAll(spent, other.earlier)
+	}
+	return spent
+}
+
+// forgetSpendingOf forgets what single instances of a failure domain have reported as
+// spent. f.mu must be held.
+func (f *Follower) forgetSpendingOf(domain string) {
+	for name, instance := range f.otherInstances {
+		if instance.FailureDomain == domain {
+			f.quotas.ForgetPeer(name)
+		}
+	}
+}
+
+// aggregateReceivers returns the instances of other failure domains that aggregates are
+// sent to: the representative where it passes them on, else all. A representative that
+// is stopping tells all. f.mu must be held.
+func (f *Follower) aggregateReceivers(now time.Time, stopping bool) []entryInstance {
+	var receivers []entryInstance
+	for name, other := range f.otherInstances {
+		if other.FailureDomain == f.self.FailureDomain {
+			continue
+		}
+		domain := f.otherDomains[other.FailureDomain]
+		distributes := domain.Distributes && now.Sub(domain.lastHeard) < aggregateTimeout
+		if stopping || !distributes || domain.representative == name {
+			receivers = append(receivers, other)
+		}
+	}
+	return receivers
+}
+
 // receiveAggregate processes an aggregate of another failure domain. f.mu must
 // be held.
 func (f *Follower) receiveAggregate(now time.Time, beacon beaconer.Beacon) {
@@ -169,11 +229,7 @@
 		updated.lastHeard = time.Time{} // the next representative is accepted at once
 	}
 	f.otherDomains[beacon.FailureDomain] = updated
-	for name, instance := range f.otherInstances {
-		if instance.FailureDomain == beacon.FailureDomain {
-			f.quotas.ForgetPeer(name) // the aggregate includes its spending
-		}
-	}
+	f.forgetSpendingOf(beacon.FailureDomain) // the aggregate includes it
 	f.quotas.RecordReport(now, apportioner.SpendingReport{
 		Name: peerName, Instances: beacon.Aggregate.Instances, Incarnation: updated.term, Spent: beacon.QuotaSpent, Levels: beacon.QuotaLeft,
 	})
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -78,10 +78,13 @@
 	// from a control instance.
 	listedInstances map[string]bool
 	ownDomain       domainAggregate
-	placer          placer.Placer
-	quotas          apportioner.Apportioner
-	beaconSequence  uint64
-	watchAnswered   bool
+	digestsHeard    digestView
+	// reportedTo is the representative that got the last report.
+	reportedTo     string
+	placer         placer.Placer
+	quotas         apportioner.Apportioner
+	beaconSequence uint64
+	watchAnswered  bool
 	// originsRestarted means that a control instance has started anew since origins were
 	// last reported.
 	originsRestarted bool
--- a/internal/follower/limits.go
+++ b/internal/follower/limits.go
@@ -44,9 +44,9 @@
 	f.placer.SetRegionMembers(now, silence, len(silence)+1, f.watchAnswered && !f.RecentlyStarted())
 }
 
-// limitBeacon returns a beacon for the other failure domains of this region, whose
-// instances otherwise hear only representatives: a limit that a server has just named
-// must be known everywhere at once. f.mu must be held.
+// limitBeacon returns a beacon for the instances of this region that otherwise hear only
+// representatives: a limit that a server has just named must be known everywhere at
+// once. f.mu must be held.
 func (f *Follower) limitBeacon(now time.Time, base beaconer.Beacon) outgoingBeacon {
 	const within = limitRepeats * beaconInterval
 	outgoing := outgoingBeacon{beacon: base}
@@ -54,8 +54,9 @@
 		return outgoing
 	}
 	outgoing.beacon.Partial, outgoing.beacon.Limits = true, f.placer.Limits(now, within)
+	collected := f.isLargeDomain()
 	for _, other := range f.otherInstances {
-		if other.Region == f.self.Region && other.FailureDomain != f.self.FailureDomain {
+		if other.Region == f.self.Region && (collected || other.FailureDomain != f.self.FailureDomain) {
 			outgoing.addresses = append(outgoing.addresses, other.PeerAddress)
 		}
 	}
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -262,8 +262,8 @@
 func (p *Placer) warmupOwner(now time.Time, s *server) string {
 	best := p.InstanceName
 	highest := mixBits(xxhash.Sum64String(p.InstanceName) ^ s.nameHash)
-	for name, other := range p.peersByName {
-		if now.Sub(other.lastHeard) > peerLoadTTL || !other.sameDomain {
+	for name, heard := range p.neighbours {
+		if now.Sub(heard) > peerLoadTTL {
 			continue
 		}
 		if rank := mixBits(xxhash.Sum64String(name) ^ s.nameHash); rank > highest {
--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Load is the work that one instance, or several together, have placed on a server.
 type Load struct {
@@ -31,11 +34,22 @@
 	l.EjectedBy -= other.EjectedBy
 }
 
+// Without returns the load less a part of it. Nothing falls below 0: the part may be newer
+// than the whole.
+func (l Load) Without(part Load) Load {
+	l.subtract(part)
+	return Load{
+		Running: max(l.Running, 0), PrefillTokens: max(l.PrefillTokens, 0), MemoryTokens: max(l.MemoryTokens, 0),
+		PrefillRate: max(l.PrefillRate, 0), EjectedBy: max(l.EjectedBy, 0),
+	}
+}
+
 // peer is another instance of this region, or another failure domain as a whole.
 type peer struct {
 	lastHeard time.Time
 	loads     map[string]Load
-	// sameDomain means that the peer is an instance of this failure domain.
+	// sameDomain means that the peer is an instance of this failure domain, or all others
+	// of it together.
 	sameDomain bool
 }
 
@@ -60,11 +74,11 @@
 	for _, s := range p.serversByName {
 		s.loadChanged = false
 	}
-	return p.ownLoads(now)
+	return p.OwnLoads(now)
 }
 
-// ownLoads returns what FullLoads does without marking it as reported.
-func (p *Placer) ownLoads(now time.Time) map[string]Load {
+// OwnLoads returns what FullLoads does without marking it as reported.
+func (p *Placer) OwnLoads(now time.Time) map[string]Load {
 	loads := map[string]Load{}
 	for name, s := range p.serversByName {
 		if load := s.reportedLoad(now); load.Running > 0 || load.EjectedBy > 0 {
@@ -101,7 +115,7 @@
 // DomainLoads returns the summed loads of all instances of this failure domain that
 // were heard recently, by server name.
 func (p *Placer) DomainLoads(now time.Time) map[string]Load {
-	loads := p.ownLoads(now)
+	loads := p.OwnLoads(now)
 	for _, other := range p.peersByName {
 		if !other.sameDomain || now.Sub(other.lastHeard) > peerLoadTTL {
 			continue
@@ -126,11 +140,40 @@
 	if loads == nil {
 		loads = map[string]Load{}
 	}
+	if sameDomain {
+		delete(p.peersByName, collectedPeer)
+		p.RecordNeighbour(now, name)
+	}
 	p.peersByName[name] = peer{lastHeard: now, loads: loads, sameDomain: sameDomain}
 	p.dropStalePeers(now)
 	p.sumPeerLoads(now)
 }
 
+// SetCollectedLoads replaces the loads, by server name, of all other instances of this
+// failure domain together. They take the place of what SetPeerLoads was given for single
+// instances of it, and the other way round. The Placer keeps the map.
+func (p *Placer) SetCollectedLoads(now time.Time, loads map[string]Load) {
+	maps.DeleteFunc(p.peersByName, func(_ string, other peer) bool { return other.sameDomain })
+	if p.peersByName == nil {
+		p.peersByName = map[string]peer{}
+	}
+	p.peersByName[collectedPeer] = peer{lastHeard: now, loads: loads, sameDomain: true}
+	p.dropStalePeers(now)
+	p.sumPeerLoads(now)
+}
+
+// collectedPeer is the key of the collected loads. No instance has it as its name.
+const collectedPeer = ""
+
+// RecordNeighbour records that another instance of this failure domain is live. One
+// that has not been recorded for 2 s no longer counts.
+func (p *Placer) RecordNeighbour(now time.Time, name string) {
+	if p.neighbours == nil {
+		p.neighbours = map[string]time.Time{}
+	}
+	p.neighbours[name] = now
+}
+
 // ApplyPeerChanges applies the changed loads of another instance of this region.
 // They are ignored until SetPeerLoads has been called for that instance, since
 // changes alone are incomplete, and for servers that are not known here.
@@ -141,6 +184,9 @@
 	}
 	sender.lastHeard = now
 	p.peersByName[name] = sender
+	if sender.sameDomain {
+		p.RecordNeighbour(now, name)
+	}
 	for server, load := range changes {
 		if s, exists := p.serversByName[server]; exists {
 			s.peerLoad.subtract(sender.loadAt(server))
@@ -150,8 +196,9 @@
 	}
 }
 
-// dropStalePeers removes the peers that have not been heard recently.
+// dropStalePeers removes the peers and neighbours that have not been heard recently.
 func (p *Placer) dropStalePeers(now time.Time) {
+	maps.DeleteFunc(p.neighbours, func(_ string, heard time.Time) bool { return now.Sub(heard) > peerLoadTTL })
 	for name, other := range p.peersByName {
 		if now.Sub(other.lastHeard) > peerLoadTTL {
 			delete(p.peersByName, name)
@@ -160,12 +207,17 @@
 }
 
 // sumPeerLoads adds up the loads of all peers on each server and applies their
-// ejections.
+// ejections. It takes time for each load that was reported, and not for each pair of a
+// peer and a server: an instance of a large fleet has work at few servers.
 func (p *Placer) sumPeerLoads(now time.Time) {
-	for name, s := range p.serversByName {
+	for _, s := range p.serversByName {
 		s.peerLoad = Load{}
-		for _, other := range p.peersByName {
-			s.peerLoad.add(other.loadAt(name))
+	}
+	for _, other := range p.peersByName {
+		for name := range other.loads {
+			if s, known := p.serversByName[name]; known {
+				s.peerLoad.add(other.loadAt(name))
+			}
 		}
 	}
 	p.applyPeerEjections(now)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -131,6 +131,8 @@
 	// limitSeenAt is when a server last told this instance of another limit.
 	limitSeenAt time.Time
 	peersByName map[string]peer
+	// neighbours holds when the live instances of this failure domain were last heard.
+	neighbours map[string]time.Time
 	// remoteServices holds the services of other regions by region and service name.
 	remoteServices map[string]map[string]remoteService
 	closedDomains  map[string]bool
