controller, follower: lists of entry instances are sent as changes

Cause: each start of an entry instance sent the complete list to every instance, from every control instance: with 294 instances 38 kB each time, so that the start of all cost bytes and processor time with the square of the fleet. Each entry instance also merged the reports of 6 control instances on 148 servers five times a second, 0.6 ms and 200 kB of garbage each, though nothing had changed. Change: watches ask for the instances that changed since the last answer; a control instance remembers the last 1,024 that it dropped, and sends the complete list to one that is further behind. Reports are merged when one arrives or the control instances in contact change; the rest of the refresh only forgets what is too old.

--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -36,6 +36,10 @@
 	controls map[string]time.Time
 	// revision counts the changes that entry instances must be told of.
 	revision uint64
+	// removed holds the revision at which an entry instance was dropped, by name, for
+	// those dropped after removedSince.
+	removed      map[string]uint64
+	removedSince uint64
 	// notifiedRevision is the revision at the last wake-up of the waiting watches.
 	notifiedRevision uint64
 	// ackedServerRevisions holds, by entry instance, the revision of the servers
@@ -52,8 +56,13 @@
 	beaconer.Instance
 	state     beaconer.State
 	lastHeard time.Time
+	// revision is that of the last change of its description.
+	revision uint64
 }
 
+// maxRemoved bounds the dropped entry instances that are remembered.
+const maxRemoved = 1024
+
 // recordBeacon stores the sender's description and state. It reports whether
 // either changed; only a changed description raises the revision.
 func (p *peerTable) recordBeacon(now time.Time, beacon beaconer.Beacon) bool {
@@ -61,28 +70,62 @@
 		p.instances = map[string]knownInstance{}
 	}
 	previous, exists := p.instances[beacon.Name]
-	p.instances[beacon.Name] = knownInstance{Instance: beacon.Instance, state: beacon.State, lastHeard: now}
-	if !exists || previous.Instance != beacon.Instance {
+	changed := !exists || previous.Instance != beacon.Instance
+	if changed {
 		p.revision++
-		return true
+		previous.revision = p.revision
+		delete(p.removed, beacon.Name)
 	}
-	return previous.state != beacon.State
+	p.instances[beacon.Name] = knownInstance{Instance: beacon.Instance, state: beacon.State, lastHeard: now, revision: previous.revision}
+	return changed || previous.state != beacon.State
+}
+
+// changesSince returns the descriptions that have changed after a revision and the names
+// of the entry instances that were dropped. It reports false if that is no longer known:
+// the list is then complete.
+func (p *peerTable) changesSince(revision uint64) (changed []beaconer.Instance, removed []string, known bool) {
+	known = revision >= p.removedSince
+	for _, instance := range p.instances {
+		if !known || instance.revision > revision {
+			changed = append(changed, instance.Instance)
+		}
+	}
+	if !known {
+		return changed, nil, false
+	}
+	for name, at := range p.removed {
+		if at > revision {
+			removed = append(removed, name)
+		}
+	}
+	return changed, removed, true
 }
 
 // expire drops the entry instances and control instances whose timeouts have
 // passed. Region is the one where this process runs.
 func (p *peerTable) expire(now time.Time, region string) {
-	before := len(p.instances)
-	maps.DeleteFunc(p.instances, func(_ string, i knownInstance) bool {
+	maps.DeleteFunc(p.instances, func(name string, i knownInstance) bool {
+		timeout := instanceTimeout
 		if i.Region != region {
-			return now.Sub(i.lastHeard) > remoteInstanceTimeout
+			timeout = remoteInstanceTimeout
 		}
-		return now.Sub(i.lastHeard) > instanceTimeout
+		if now.Sub(i.lastHeard) <= timeout {
+			return false
+		}
+		p.recordRemoval(name)
+		return true
 	})
 	maps.DeleteFunc(p.controls, func(_ string, heard time.Time) bool { return now.Sub(heard) > controlTimeout })
-	if len(p.instances) != before {
-		p.revision++
+}
+
+// recordRemoval remembers that an entry instance was dropped.
+func (p *peerTable) recordRemoval(name string) {
+	p.revision++
+	if p.removed == nil || len(p.removed) >= maxRemoved {
+		p.removedSince = p.revision - 1
+		p.removed = map[string]uint64{}
 	}
+	p.removed[name] = p.revision
 }
 
 // addControls records that control instances were heard now. It reports whether
--- a/internal/controller/watch.go
+++ b/internal/controller/watch.go
@@ -54,6 +54,8 @@
 	// MixedHash is the last WatchAnswer.Mixed.Hash; 1 at first, and 0 from processes that
 	// know no versions.
 	MixedHash uint64 `cbor:"m,omitempty"`
+	// InstanceChanges asks for the changes of WatchAnswer.Instances alone.
+	InstanceChanges bool `cbor:"c,omitempty"`
 }
 
 // WatchAnswer is the answer to a WatchQuery.
@@ -73,9 +75,14 @@
 	// ServersRevision is the revision up to which changed servers are included.
 	ServersRevision uint64 `cbor:"u"`
 	// Instances and Controls are complete lists of the entry instances and of the
-	// control instances' peer addresses, set if either has changed.
-	Instances []beaconer.Instance `cbor:"n,omitempty"`
-	Controls  []string            `cbor:"c,omitempty"`
+	// control instances' peer addresses, set if either has changed. With
+	// InstanceChanges, Instances has only those that have changed since the query's
+	// revision, and RemovedInstances the names of those dropped since: complete lists of
+	// all, sent to all whenever one starts, grow with the square of the fleet.
+	InstanceChanges  bool                `cbor:"d,omitempty"`
+	RemovedInstances []string            `cbor:"r,omitempty"`
+	Instances        []beaconer.Instance `cbor:"n,omitempty"`
+	Controls         []string            `cbor:"c,omitempty"`
 	// PeersRevision is the revision of Instances and Controls; never 0.
 	PeersRevision uint64 `cbor:"q"`
 	// Quarantine are the changed prompt parts, and QuarantineRevision is the revision
@@ -154,10 +161,22 @@
 	}
 	if query.PeersRevision < answer.PeersRevision {
 		answer.Controls = controls
-		for _, instance := range c.peers.instances {
-			answer.Instances = append(answer.Instances, instance.Instance)
-		}
+		c.addInstances(query, &answer)
 		hasChanges = true
 	}
 	return answer, hasChanges
 }
+
+// addInstances adds the entry instances to an answer: those that have changed if the
+// query asks for that and has a list of this process to apply them to. c.mu must be held.
+func (c *Controller) addInstances(query WatchQuery, answer *WatchAnswer) {
+	if query.InstanceChanges && query.PeersRevision > 0 {
+		// The revision of an answer is one above that of the table.
+		changed, removed, known := c.peers.changesSince(query.PeersRevision - 1)
+		answer.Instances, answer.RemovedInstances, answer.InstanceChanges = changed, removed, known
+		return
+	}
+	for _, instance := range c.peers.instances {
+		answer.Instances = append(answer.Instances, instance.Instance)
+	}
+}
--- a/internal/follower/collect_test.go
+++ b/internal/follower/collect_test.go
@@ -53,7 +53,7 @@
 		instances = append(instances, f.self)
 	}
 	for _, f := range fleet.followers {
-		f.applyMembers(time.Now(), controller.WatchAnswer{Instances: instances})
+		f.applyMembers(time.Now(), f.controlWatches["control"], controller.WatchAnswer{Instances: instances})
 	}
 	return fleet
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -74,11 +74,13 @@
 	// otherInstances and otherDomains are keyed by name.
 	otherInstances map[string]entryInstance
 	otherDomains   map[string]domainSummary
-	// listedInstances holds the names of the entry instances in the last list
+	// listedInstances holds the names of the entry instances in the newest list
 	// from a control instance.
 	listedInstances map[string]bool
-	ownDomain       domainAggregate
-	digestsHeard    digestView
+	// merged is what the last merge of the servers' reports depended on.
+	merged       mergeInputs
+	ownDomain    domainAggregate
+	digestsHeard digestView
 	// reportedTo is the representative that got the last report.
 	reportedTo     string
 	placer         placer.Placer
@@ -110,6 +112,8 @@
 	cancel             func()
 	// region is where the control instance runs; empty until its first answer.
 	region string
+	// listed holds the names of the entry instances that it lists.
+	listed map[string]bool
 	// mixed tells which services have several versions; nil before the first answer and
 	// from a control instance of an earlier release.
 	mixed *controller.MixedServices
@@ -242,6 +246,7 @@
 	if view == nil {
 		return
 	}
+	f.merged = f.mergeInputs(now)
 	newestByName := map[string]registrar.Server{}
 	heardByName := map[string]bool{}
 	for _, watch := range f.controlWatches {
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/controller"
@@ -69,12 +70,35 @@
 	}
 	f.placer.RegionInstances = f.countRegionInstances(now)
 	f.updateRegionMembers(now)
-	f.mergeServerReports(now)
+	if merged := f.mergeInputs(now); merged != f.merged {
+		f.mergeServerReports(now)
+	} else {
+		f.placer.Refresh(now)
+	}
 	f.forgetUnconfirmed(now)
 	f.updateReadiness()
 	f.logServerConditions(now)
 }
 
+// mergeInputs is what a merge of the control instances' reports depends on besides the
+// reports themselves.
+type mergeInputs struct {
+	watches, regionInstances int
+	// inContact is the sum of the hashes of the control instances in contact.
+	inContact uint64
+}
+
+// mergeInputs returns what a merge would depend on now. f.mu must be held.
+func (f *Follower) mergeInputs(now time.Time) mergeInputs {
+	inputs := mergeInputs{watches: len(f.controlWatches), regionInstances: f.placer.RegionInstances}
+	for address, watch := range f.controlWatches {
+		if now.Sub(watch.lastAnswer) < controlContactTimeout {
+			inputs.inContact += xxhash.Sum64String(address)
+		}
+	}
+	return inputs
+}
+
 // countRegionInstances returns the number of entry instances in this region,
 // including this one.
 func (f *Follower) countRegionInstances(now time.Time) int {
@@ -162,7 +186,7 @@
 	query := controller.WatchQuery{
 		Epoch: watch.epoch, Index: f.queryIndex(watch), OmitDocument: true, Version: uint64(f.definitionVersion),
 		ServersRevision: watch.serversRevision, PeersRevision: watch.peersRevision, Region: f.settings.Region, Name: f.settings.Name,
-		QuarantineRevision: max(watch.quarantineRevision, 1), MixedHash: 1,
+		QuarantineRevision: max(watch.quarantineRevision, 1), MixedHash: 1, InstanceChanges: true,
 	}
 	if watch.mixed != nil {
 		query.MixedHash = watch.mixed.Hash
@@ -193,7 +217,7 @@
 	f.noteMixed(watch, answer)
 	f.applyServerReports(now, watch, answer)
 	if answer.Instances != nil || answer.Controls != nil {
-		f.applyMembers(now, answer)
+		f.applyMembers(now, watch, answer)
 	}
 	if answer.State != nil {
 		if err := f.applyState(to.Name, *answer.State); err != nil {
@@ -214,6 +238,7 @@
 		watch.epoch = answer.Epoch
 		watch.sendsDocuments = false
 		watch.reportsByServer = map[string]serverReport{}
+		f.merged = mergeInputs{} // the next refresh merges what is left
 	}
 	watch.serversRevision = answer.ServersRevision
 	if answer.Instances != nil || answer.Controls != nil {
@@ -229,27 +254,33 @@
 	}
 }
 
-// applyMembers adds the control instances that an answer lists, and takes over
-// its list of entry instances.
-func (f *Follower) applyMembers(now time.Time, answer controller.WatchAnswer) {
+// applyMembers adds the control instances that an answer lists, and takes over the
+// list of entry instances of the control instance that answered. f.mu must be held.
+func (f *Follower) applyMembers(now time.Time, watch *controlWatch, answer controller.WatchAnswer) {
 	for _, address := range answer.Controls {
 		if !slices.Contains(f.controlAddresses, address) {
 			f.controlAddresses = append(f.controlAddresses, address)
 		}
 	}
-	if len(answer.Instances) > 0 {
-		f.listedInstances = map[string]bool{}
+	if watch.listed == nil || !answer.InstanceChanges {
+		watch.listed = map[string]bool{}
+	}
+	for _, name := range answer.RemovedInstances {
+		delete(watch.listed, name)
 	}
 	for _, other := range answer.Instances {
 		if other.Name == f.self.Name {
 			continue
 		}
-		f.listedInstances[other.Name] = true
+		watch.listed[other.Name] = true
 		known, exists := f.otherInstances[other.Name]
 		if !exists || other.Incarnation > known.Incarnation {
 			f.otherInstances[other.Name] = entryInstance{Instance: other, lastHeard: now}
 		}
 	}
+	if len(watch.listed) > 0 {
+		f.listedInstances = watch.listed
+	}
 }
 
 // AddControlInstances adds control instances to watch.
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -168,6 +168,12 @@
 			s.State = registrar.StateGone
 		}
 	}
+	p.Refresh(now)
+}
+
+// Refresh forgets what has become too old. It must be called a few times a second while
+// SetServers is not.
+func (p *Placer) Refresh(now time.Time) {
 	p.dropOldNotices(now)
 	p.limits.Forget(now, func(start throttler.Server) bool {
 		s, listed := p.serversByName[start.Name]
