controller: lists of instances only from the control instances of one's region

Cause: an entry instance does not know which control instances are of its region before they have answered, and asked all of them for everything. At a start of the fleet, and after a restart of all control instances, each of 294 got six complete lists of 38 kB, four of them over the links between regions. Change: the first watch asks for no lists, and one that follows a control instance of another region asks for none after its restart either. Result: TestNoListsWithoutAsking.

--- a/internal/controller/instances_test.go
+++ b/internal/controller/instances_test.go
@@ -62,3 +62,30 @@
 		})
 	}
 }
+
+// TestNoListsWithoutAsking has an entry instance that wants no lists of instances follow a
+// control instance that it does not know yet. A complete list to each instance of a large
+// fleet, from every control instance, would fill the links when all start.
+func TestNoListsWithoutAsking(t *testing.T) {
+	c := &Controller{epoch: 7}
+	c.peers.recordBeacon(time.Now(), beaconer.Beacon{Instance: beaconer.Instance{Name: "entry-1"}})
+	cases := []struct {
+		name     string
+		revision uint64
+		want     int
+	}{
+		{"wants lists", 0, 1},
+		{"wants none", NoPeers, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			query := c.forEpoch(WatchQuery{PeersRevision: test.revision, ServersRevision: 5})
+			assert.Equal(t, query.ServersRevision, uint64(0))
+			var answer WatchAnswer
+			if query.PeersRevision < c.peers.revision+1 {
+				c.addInstances(query, &answer)
+			}
+			assert.Equal(t, len(answer.Instances), test.want)
+		})
+	}
+}
--- a/internal/controller/watch.go
+++ b/internal/controller/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -23,6 +24,10 @@
 // maxExtraWait bounds the additional wait that a watch may ask for.
 const maxExtraWait = 10 * time.Second
 
+// NoPeers is the WatchQuery.PeersRevision of an entry instance that wants no lists of
+// instances.
+const NoPeers = math.MaxUint64
+
 // WatchQuery tells a control instance what an entry instance knows already, and
 // asks for what has changed since.
 type WatchQuery struct {
@@ -128,9 +133,7 @@
 	state := c.machine.state()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if query.Epoch != c.epoch {
-		query.ServersRevision, query.PeersRevision, query.QuarantineRevision = 0, 0, min(query.QuarantineRevision, 1)
-	}
+	query = c.forEpoch(query)
 	if c.peers.ackedServerRevisions == nil {
 		c.peers.ackedServerRevisions = map[string]uint64{}
 	}
@@ -180,3 +183,15 @@
 		answer.Instances = append(answer.Instances, instance.Instance)
 	}
 }
+
+// forEpoch returns a query without the revisions of another start of this process.
+func (c *Controller) forEpoch(query WatchQuery) WatchQuery {
+	if query.Epoch == c.epoch {
+		return query
+	}
+	query.ServersRevision, query.QuarantineRevision = 0, min(query.QuarantineRevision, 1)
+	if query.PeersRevision != NoPeers {
+		query.PeersRevision = 0
+	}
+	return query
+}
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -192,10 +191,16 @@
 		query.MixedHash = watch.mixed.Hash
 	}
 	timeout := watchTimeout
-	if f.isSecondary(watch) {
+	switch {
+	case watch.epoch == 0:
+		// The first answer tells whether the control instance is one of this region. A fleet
+		// that starts, or follows control instances that do, would otherwise be sent all lists
+		// by all of them.
+		query.PeersRevision = controller.NoPeers
+	case f.isSecondary(watch):
 		timeout += secondaryHold
 		query.ExtraWait = secondaryHold
-		query.PeersRevision = math.MaxUint64 // control instances of this region report the addresses
+		query.PeersRevision = controller.NoPeers // control instances of this region report the addresses
 	}
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
