follower: a representative that does not hear an instance is not followed by it

Cause: an instance went on following digests that did not include its reports, as from a representative that still sends but hears nobody: the work of a whole failure domain was then missing from everybody's view (28 of 448 requests known). Change: the first digest of a sender must include the receiver's own report, and a sender whose digests have not done so for 0.5 s is no longer followed, so that the instance sends to its whole domain again. Result: TestRepresentativeThatHearsNobodyIsNotFollowed, which failed before.

--- a/internal/follower/collect_test.go
+++ b/internal/follower/collect_test.go
@@ -26,6 +26,8 @@
 	traffic   map[*Follower]*traffic
 	random    *rand.Rand
 	placed    uint64
+	// deaf is an instance that receives nothing; nil for none.
+	deaf *Follower
 }
 
 // traffic is what one instance has sent and received.
@@ -100,7 +102,7 @@
 		for _, address := range outgoing.addresses {
 			fleet.count(from, len(data))
 			to, alive := fleet.followers[address]
-			if !alive {
+			if !alive || to == fleet.deaf {
 				continue
 			}
 			fleet.count(to, len(data))
@@ -218,3 +220,38 @@
 		})
 	}
 }
+
+// TestRepresentativeThatHearsNobodyIsNotFollowed cuts the way to the preferred
+// representative of a failure domain: it sends digests, but hears nobody. Its digests, in
+// which the work of all others is missing, must not replace what is known of them.
+func TestRepresentativeThatHearsNobodyIsNotFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newSimulatedFleet(t, 1, 40, 50)
+		fleet.run(4*time.Second, 4)
+		for f := range fleet.representatives() {
+			fleet.deaf = f
+		}
+		fleet.run(4*time.Second, 4)
+		fleet.run(3*time.Second, 0)
+		want := int32(0)
+		for _, f := range fleet.followers {
+			want += running(f.placer.OwnLoads(time.Now()))
+		}
+		missing := running(fleet.deaf.placer.OwnLoads(time.Now()))
+		for _, f := range fleet.followers {
+			if f != fleet.deaf {
+				got := running(f.placer.DomainLoads(time.Now()))
+				assert.Assert(t, got >= want-missing && got <= want, "%d requests known, %d running, %d of them at the deaf instance", got, want, missing)
+			}
+		}
+	})
+}
+
+// running returns the number of running requests of some loads.
+func running(loads map[string]placer.Load) int32 {
+	sum := int32(0)
+	for _, load := range loads {
+		sum += load.Running
+	}
+	return sum
+}
--- a/internal/follower/digests.go
+++ b/internal/follower/digests.go
@@ -30,7 +30,10 @@
 	// sums are the loads of the whole failure domain, by server name, and complete
 	// those of the last complete digest.
 	sums, complete map[string]placer.Load
-	included       uint64
+	// included is the sequence of the newest own report in the last digest, and
+	// lastIncluded when a digest last had one.
+	included     uint64
+	lastIncluded time.Time
 	// term counts the senders that were followed, one after another.
 	term    int64
 	reports []ownReport
@@ -44,19 +47,25 @@
 	}
 }
 
-// apply takes a digest over and reports whether it did. It needs a complete digest of a
-// sender first, and one that includes a report of this instance if a former sender is
-// still followed: a representative that has just taken over knows few loads.
+// apply takes a digest over and reports whether it did. The first of a sender must be
+// complete, and all must include a report of this instance, or have done so lately: a
+// representative that has just taken over knows few loads, and one that does not hear
+// this instance may hear nobody.
 func (v *digestView) apply(now time.Time, self string, beacon beaconer.Beacon) bool {
 	digest := beacon.Digest
 	included, isIncluded := digest.Included[beaconer.NameHash(self)]
 	if beacon.Name != v.sender || beacon.Incarnation != v.incarnation {
-		if !digest.Complete || !isIncluded && now.Sub(v.lastHeard) < digestTimeout {
+		if !digest.Complete || !isIncluded {
 			return false
 		}
 		v.sender, v.incarnation, v.included = beacon.Name, beacon.Incarnation, 0
 		v.term++
 	}
+	if isIncluded {
+		v.lastIncluded = now
+	} else if now.Sub(v.lastIncluded) >= digestTimeout {
+		return false
+	}
 	v.lastHeard, v.included = now, included
 	loads := map[string]placer.Load{}
 	for name, load := range digest.Loads {
