--- a/internal/forwarder/otherserver_test.go
+++ b/internal/forwarder/otherserver_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -22,5 +24,19 @@
 	status, _, err := g.do("POST", "/a", "x")
 	assert.NilError(t, err)
 	assert.Equal(t, status, 200)
-	assert.DeepEqual(t, g.fleet.outcomes, []placer.Outcome{placer.OutcomeUnreachable, placer.OutcomeDeclined, placer.OutcomeAnswered})
+	assert.DeepEqual(t, g.fleet.awaitOutcomes(3), []placer.Outcome{placer.OutcomeUnreachable, placer.OutcomeDeclined, placer.OutcomeAnswered})
+}
+
+// awaitOutcomes returns the outcomes of all placements once there are as many as given, or
+// after some seconds: the caller has its answer before the last placement ends.
+func (f *testFleet) awaitOutcomes(count int) []placer.Outcome {
+	const patience = 5 * time.Second
+	for deadline := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		outcomes := slices.Clone(f.outcomes)
+		f.mu.Unlock()
+		if len(outcomes) >= count || time.Now().After(deadline) {
+			return outcomes
+		}
+	}
 }
