--- a/internal/follower/collect.go
+++ b/internal/follower/collect.go
@@ -68,8 +68,8 @@
 	return nil
 }
 
-// neighbourAddresses returns the addresses of the other instances of this failure
-// domain, in the order of their names. f.mu must be held.
+// neighbourAddresses returns the sorted addresses of the other instances of this failure
+// domain. f.mu must be held.
 func (f *Follower) neighbourAddresses() []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for _, other := range f.otherInstances {
