review: case 5 keeps to the site's share of failing servers

Change: two of twelve servers, those of one region, reset streams, in place of all of six, for the time that the site's entry has.

--- a/review/harness/attempts.go
+++ b/review/harness/attempts.go
@@ -14,12 +14,12 @@
 const (
 	streamEvents  = 20
 	eventInterval = 15 * time.Millisecond
-	// greyFor and greyShare are how long engines fail and which share of their requests:
-	// the largest doses of the users' site file.
-	greyFor   = 4 * time.Second
+	// greyFor and greyShare are how long two of the twelve engines fail and which share of
+	// their requests: the doses of the users' site file for resets.
+	greyFor   = 6500 * time.Millisecond
 	greyShare = 0.45
 	// greySpans is how often they do, and greyPause how long they are sound in between.
-	greySpans = 6
+	greySpans = 5
 	greyPause = 3 * time.Second
 	// maxAttempts is that of the route, and allowedExcess how many requests of a day may
 	// run on more engines.
@@ -27,6 +27,11 @@
 	allowedExcess = 3
 )
 
+// enginesByZone are the numbers of engines. Those of greyZone fail.
+var enginesByZone = []int{7, 2, 3}
+
+const greyZone = 1
+
 // attempts sends resumable streams to an entry instance whose region is no home of their
 // route, so that it relays them, while engines reset some of their streams midway. It is
 // broken if more than allowedExcess requests run on more than maxAttempts engines.
@@ -36,8 +41,8 @@
 	grey := &window{}
 	stream := func(e *engine, w http.ResponseWriter, r *http.Request, _ []byte) { streamEventsOf(e, w, r, grey) }
 	number := 0
-	for z := range zones {
-		for range 2 {
+	for z, count := range enginesByZone {
+		for range count {
 			if err := f.addEngine(number, z, "huvo11a", 64, runs, stream); err != nil {
 				return false, err
 			}
@@ -65,7 +70,7 @@
 	}
 	for range greySpans {
 		if trouble {
-			f.record.say("engines reset %.2f of their streams midway, for %v", greyShare, greyFor)
+			f.record.say("%d of 12 engines reset %.2f of their streams midway, for %v", enginesByZone[greyZone], greyShare, greyFor)
 			grey.open()
 		}
 		time.Sleep(greyFor)
@@ -110,7 +115,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	id, first := r.Header.Get("X-Request-Id"), lastEvent(r)+1
 	breakAt := 0
-	if grey.isOpen() && fraction(e.name+id) < greyShare {
+	if grey.isOpen() && e.zone == greyZone && fraction(e.name+id) < greyShare {
 		breakAt = first + 3
 	}
 	control := http.NewResponseController(w)
