forwarder: an earlier refusal is not taken for the answer to a later request

Callers were told 503 or 429, so 'not run, try again', for requests that a server ran, or a second server ran them, too. A server had written an earlier refusal once more on a kept connection: HTTP/1.1 matches responses by their order alone, and a refusal was believed that named no request, or the id of an earlier request that had the same one (a caller that repeats ids, a server listed under two names).

TestEarlierRefusalIsTakenForLaterRequest plays 16 ways in three settings against a server on a real socket.

A refusal is now believed only if it names this request, on a connection that has carried no unanswered request with the same id. After any response that is not known to be this request's the connection is closed, so that nothing else on it is believed and the server stops. Such requests end as 502, or are repeated where they may be. The notes name the id and the status, and refusals-not-believed counts.

--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/definer"
+	"github.com/boragehead/boragehead/internal/matcher"
 	"github.com/boragehead/boragehead/internal/placer"
 )
 
@@ -103,7 +104,8 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	request, connected := newOutgoingRequest(ctx, call, address.String())
+	match := &matcher.Match{}
+	request := newOutgoingRequest(match.Follow(ctx, call.ID), call, address.String())
 	header, err := encodeRelayedCall(call, out.lastEventID, out.version, maxRuns)
 	if err != nil {
 		klog.ErrorS(err, "failed to encode call for relay", "id", call.ID)
@@ -114,7 +116,7 @@
 	response, err := f.relayTransport.RoundTrip(request)
 	if err != nil {
 		call.record.note = err.Error()
-		if !connected.Load() {
+		if !match.Connected() {
 			return resultDeclined, 0
 		}
 		out.offeredToServer = true
@@ -144,7 +146,7 @@
 		return resultUnknown, maxRuns
 	}
 	out.offeredToServer = true
-	result, _ = f.handleResponse(out, response)
+	result, _ = f.handleResponse(out, match, response)
 	return result, maxRuns
 }
 
--- /dev/null
+++ b/internal/forwarder/repeatedrefusal_test.go
@@ -0,0 +1,237 @@
+package forwarder
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/boragehead/boragehead/internal/definer"
+	"github.com/boragehead/boragehead/internal/registrar"
+)
+
+// refusalText is a server's refusal of a request, without an id if that is empty.
+func refusalText(status int, id string, headers string) string {
+	if id != "" {
+		headers = "Id: " + id + "\r\n" + headers
+	}
+	return fmt.Sprintf("HTTP/1.1 %d Refused\r\nNot-Run: 1\r\n%s\r\n", status, headers)
+}
+
+// repeatingServer refuses the first request on each connection and writes the refusal
+// once more when the next request comes, which it runs.
+type repeatingServer struct {
+	first, repeated string
+	// early means that it is written as soon as the head of the next request has arrived.
+	early bool
+	// pause is how long the next request runs.
+	pause time.Duration
+
+	mu   sync.Mutex
+	runs map[string]int
+	// working is how many requests run now.
+	working int
+}
+
+// start lets the server listen until the end of the test.
+func (s *repeatingServer) start(t *testing.T) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var open sync.WaitGroup
+	t.Cleanup(func() {
+		_ = listener.Close()
+		open.Wait()
+	})
+	open.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			open.Go(func() { s.serve(conn) })
+		}
+	})
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func (s *repeatingServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for number := 0; ; number++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if number > 0 && s.early {
+			_, _ = io.WriteString(conn, s.repeated)
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if number == 0 {
+			_, _ = io.WriteString(conn, strings.ReplaceAll(s.first, "ID", request.Header.Get("Id")))
+			continue
+		}
+		s.run(conn, reader, request.Header.Get("Id"))
+	}
+}
+
+// run runs a request to its end or until its connection is closed.
+func (s *repeatingServer) run(conn net.Conn, reader *bufio.Reader, id string) {
+	s.add(id, 1)
+	defer s.add("", -1)
+	if !s.early {
+		_, _ = io.WriteString(conn, s.repeated)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(s.pause))
+	if _, err := reader.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: 5\r\n\r\nwhole", id)
+}
+
+// add counts a request that begins to run or that ends.
+func (s *repeatingServer) add(id string, working int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.working += working
+	if working > 0 {
+		s.runs[id]++
+	}
+}
+
+func (s *repeatingServer) isIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.working == 0
+}
+
+// TestEarlierRefusalIsTakenForLaterRequest guards against a server that writes a refusal
+// once more on a kept connection: its caller is told that the request has not run, or
+// another server runs it, too.
+func TestEarlierRefusalIsTakenForLaterRequest(t *testing.T) {
+	const empty = "Content-Length: 0\r\n"
+	large := strings.Repeat("x", 1<<20)
+	tests := []struct {
+		name            string
+		first, repeated string
+		id, body        string // of the later request
+		early           bool
+	}{
+		{"without id", refusalText(503, "", empty), refusalText(503, "", empty), "r2", "x", false},
+		{"id only in the first", refusalText(503, "r1", empty), refusalText(503, "", empty), "r2", "x", false},
+		{"429 without id", refusalText(429, "r1", empty), refusalText(429, "", empty), "r2", "x", false},
+		{"421 of another server without id", refusalText(421, "r1", empty), refusalText(421, "", "Other-Server: 1\r\n"+empty), "r2", "x", false},
+		{"400 without id", refusalText(400, "r1", empty), refusalText(400, "", empty), "r2", "x", false},
+		{"id of the earlier request", refusalText(503, "r1", empty), refusalText(503, "r1", empty), "r2", "x", false},
+		{"the same id, sent again", refusalText(503, "r1", empty), refusalText(503, "r1", empty), "r1", "x", false},
+		{"the same id, sent again, 421", refusalText(421, "r1", empty), refusalText(421, "r1", empty), "r1", "x", false},
+		{"after an interim response", refusalText(503, "r1", empty), "HTTP/1.1 103 Early Hints\r\n\r\n" + refusalText(503, "", empty), "r2", "x", false},
+		{"without length", refusalText(503, "r1", empty), refusalText(503, "", ""), "r2", "x", false},
+		{"body shorter than its length", refusalText(503, "r1", empty), refusalText(503, "", "Content-Length: 9\r\n") + "half", "r2", "x", false},
+		{"body longer than its length", refusalText(503, "r1", empty), refusalText(503, "", "Content-Length: 1\r\n") + "longer", "r2", "x", false},
+		{"before the body is in", refusalText(503, "r1", empty), refusalText(503, "", empty), "r2", large, true},
+		{"id of the earlier request, before the body is in", refusalText(503, "r1", empty), refusalText(503, "r1", empty), "r2", large, true},
+		{"without body", refusalText(503, "r1", empty), refusalText(503, "", empty), "r2", "", false},
+		{"after the head of the answer", refusalText(503, "r1", empty),
+			"HTTP/1.1 200 OK\r\nId: r2\r\nSignature: s\r\nContent-Length: 9999\r\n\r\n" + refusalText(503, "r2", empty), "r2", "x", false},
+	}
+	for _, test := range tests {
+		for _, setting := range []string{"alone", "beside a sound server", "relayed"} {
+			t.Run(test.name+", "+setting, func(t *testing.T) {
+				t.Parallel()
+				server := &repeatingServer{first: test.first, repeated: test.repeated, early: test.early, pause: 4 * time.Second, runs: map[string]int{}}
+				g, runsElsewhere := repeatingGateway(t, server, setting)
+				_, _, err := g.do("POST", "/a", "x", "Id", "r1")
+				assert.NilError(t, err)
+				before := runsElsewhere()
+
+				status, _, err := g.do("POST", "/a", test.body, "Id", test.id)
+				assert.NilError(t, err)
+				assert.Assert(t, status == http.StatusBadGateway || status == http.StatusGatewayTimeout, "status %d promises something", status)
+				assert.Equal(t, runsElsewhere(), before, "the request ran at two servers")
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					if server.isIdle() {
+						return poll.Success()
+					}
+					return poll.Continue("the server works on a request that nobody waits for")
+				}, poll.WithTimeout(time.Second))
+			})
+		}
+	}
+}
+
+// repeatingGateway returns a gateway in front of a repeatingServer, and a function that
+// counts the runs at the sound server that may be beside it. The gateway relays its
+// requests to them in one setting.
+func repeatingGateway(t *testing.T, server *repeatingServer, setting string) (*testGateway, func() int32) {
+	route := definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1, Timeout: 2 * time.Second}
+	g := newTestGateway(t, route, respond(200, "elsewhere"))
+	g.fleet.servers = append([]registrar.Server{{Name: "repeating", Address: server.start(t)}}, g.fleet.servers...)
+	switch setting {
+	case "alone":
+		g.fleet.servers = g.fleet.servers[:1]
+	case "relayed":
+		first := newTestGateway(t, route)
+		relayTo(t, first, g, retryLimit)
+		return first, g.serverRequests.Load
+	}
+	return g, g.serverRequests.Load
+}
+
+// TestRefusalIsTakenForLaterRequestAtReusedAddress guards against the same with one request
+// alone: the address of a server that is listed under two names is tried twice.
+func TestRefusalIsTakenForLaterRequestAtReusedAddress(t *testing.T) {
+	refusal := refusalText(http.StatusMisdirectedRequest, "r1", "Content-Length: 0\r\n")
+	server := &repeatingServer{first: refusal, repeated: refusal, pause: 4 * time.Second, runs: map[string]int{}}
+	g, runsElsewhere := repeatingGateway(t, server, "beside a sound server")
+	g.fleet.servers = append([]registrar.Server{{Name: "replaced", Address: g.fleet.servers[0].Address}}, g.fleet.servers...)
+	status, _, err := g.do("POST", "/a", "x", "Id", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Equal(t, runsElsewhere(), int32(0), "the request ran at two servers")
+}
+
+// TestRefusalWrittenTwiceAtOnce guards against a refusal that is read together with the one
+// before it and waits for the next request, which may take the connection at any moment.
+func TestRefusalWrittenTwiceAtOnce(t *testing.T) {
+	const callers, requests = 4, 100
+	refusal := refusalText(http.StatusServiceUnavailable, "", "Content-Length: 0\r\n")
+	server := &repeatingServer{first: strings.Replace(refusal, "Not-Run", "Id: ID\r\nNot-Run", 1) + refusal, pause: 0, runs: map[string]int{}}
+	var mu sync.Mutex
+	elsewhere := map[string]int{}
+	g := newTestGateway(t, definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		elsewhere[r.Header.Get("Id")]++
+		mu.Unlock()
+		respond(200, "elsewhere")(w, r)
+	})
+	g.fleet.servers = append([]registrar.Server{{Name: "repeating", Address: server.start(t)}}, g.fleet.servers...)
+	var waiting sync.WaitGroup
+	for caller := range callers {
+		waiting.Go(func() {
+			for number := range requests {
+				_, _, err := g.do("POST", "/a", "x", "Id", fmt.Sprint("r", caller, "-", number))
+				assert.Check(t, err == nil, "%v", err)
+			}
+		})
+	}
+	waiting.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	for id, count := range elsewhere {
+		assert.Check(t, count+server.runs[id] <= 1, "%s ran %d times elsewhere, %d times here", id, count, server.runs[id])
+	}
+}
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -4,20 +4,20 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"mime"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
+	"github.com/boragehead/boragehead/internal/matcher"
 	"github.com/boragehead/boragehead/internal/placer"
 )
 
@@ -61,7 +61,7 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            matcher.Remember(dialer.DialContext),
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
@@ -117,12 +117,13 @@
 	if call.Workspace != nil {
 		metadata.Workspace = call.Workspace.Name
 	}
-	request, connected := newOutgoingRequest(ctx, call, server.Address.String())
+	match := &matcher.Match{}
+	request := newOutgoingRequest(match.Follow(ctx, call.ID), call, server.Address.String())
 	f.dialect.SetServerHeaders(request.Header, metadata)
 	response, err := f.serverTransport.RoundTrip(request)
 	if err != nil {
 		call.record.note = err.Error()
-		if !connected.Load() {
+		if !match.Connected() {
 			return resultDeclined, placer.OutcomeUnreachable
 		}
 		out.possibleRuns++
@@ -133,7 +134,7 @@
 	f.recordNotice(id, server.Name, f.dialect.DecodeResponse(response))
 	runsBefore := out.possibleRuns
 	out.possibleRuns++ // until the server states that it did not run the request
-	result, outcome := f.handleResponse(out, response)
+	result, outcome := f.handleResponse(out, match, response)
 	if result == resultDeclined {
 		out.possibleRuns = runsBefore
 	}
@@ -158,13 +159,8 @@
 	}
 }
 
-// newOutgoingRequest returns a copy of a call's request for another host. The
-// flag becomes true once the transport has a connection for the request.
-func newOutgoingRequest(ctx context.Context, call *Call, host string) (*http.Request, *atomic.Bool) {
-	connected := &atomic.Bool{}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+// newOutgoingRequest returns a copy of a call's request for another host.
+func newOutgoingRequest(ctx context.Context, call *Call, host string) *http.Request {
 	in := call.Request
 	address := *in.URL
 	address.Scheme, address.Host = "http", host
@@ -179,11 +175,10 @@
 	if _, present := header["User-Agent"]; !present {
 		header["User-Agent"] = nil // otherwise net/http sends its own
 	}
-	request := (&http.Request{
+	return (&http.Request{
 		Method: in.Method, URL: &address, Host: in.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: int64(len(call.Body)), Body: singleUseBody(call),
 	}).WithContext(ctx)
-	return request, connected
 }
 
 // resendHeaders make net/http resend a request without a body by itself if a kept
@@ -226,7 +221,7 @@
 
 // handleResponse checks the headers of a response and forwards the response to
 // the caller if it is a server's response to this request.
-func (f *Forwarder) handleResponse(out *callerResponse, response *http.Response) (attemptResult, placer.Outcome) {
+func (f *Forwarder) handleResponse(out *callerResponse, match *matcher.Match, response *http.Response) (attemptResult, placer.Outcome) {
 	call := out.call
 	call.record.received = receivedBody{framing: framingOf(response)}
 	response.Body = countingReader{response.Body, &call.record.received.bytes}
@@ -239,8 +234,11 @@
 		return resultUnknown, placer.OutcomeFailed
 	case info.ID != "" && info.ID != call.ID:
 		f.metrics.Count("answers-crossed")
-		call.record.note = "response belongs to another request"
-		return resultUnknown, placer.OutcomeFailed
+		call.record.note = fmt.Sprintf("response belongs to another request, id %q, status %d", info.ID, response.StatusCode)
+		return f.discardResponse(match, info)
+	case info.NotRun && (info.ID == "" || match.Repeated()):
+		call.record.note = fmt.Sprintf("refusal may be that of an earlier request, id %q, status %d", info.ID, response.StatusCode)
+		return f.discardResponse(match, info)
 	case info.NotRun:
 		call.record.note = "server did not run the request, status " + strconv.Itoa(response.StatusCode)
 		if info.OtherServer {
@@ -249,7 +247,10 @@
 		return resultDeclined, placer.OutcomeDeclined
 	case !info.Signed || info.ID == "" || response.Header.Get("Content-Encoding") != "":
 		call.record.note = "response without signature or request id, or with a content encoding"
-		return resultUnknown, placer.OutcomeFailed
+		return f.discardResponse(match, info)
+	}
+	match.Answered()
+	switch {
 	case out.streamStarted && !isEventStream(response):
 		return resultPartial, placer.OutcomeFailed
 	case isEventStream(response):
@@ -258,6 +259,16 @@
 	return out.forwardWhole(response)
 }
 
+// discardResponse closes the connection of a response that is not known to be the
+// server's to this request. The request may run.
+func (f *Forwarder) discardResponse(match *matcher.Match, info ResponseInfo) (attemptResult, placer.Outcome) {
+	if info.NotRun {
+		f.metrics.Count("refusals-not-believed")
+	}
+	match.Discard()
+	return resultUnknown, placer.OutcomeFailed
+}
+
 // isEventStream reports whether a response is a stream of server-sent events.
 func isEventStream(response *http.Response) bool {
 	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
