forwarder: what a server says in an earlier request's response is not booked

A server that wrote an earlier refusal once more got no requests for the time that this named, or until its next start: Retry-After, Server-Leaving and Server-Limit were booked before the response was known to be this request's, so callers were refused as overloaded or no-server although the server was ready.

TestRepeatedRefusalStopsRequests failed in all three rows (503 in place of 200) and passes now. That an old refusal ends a limit could not be shown: the next answer names it again.

--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -131,7 +131,9 @@
 		return resultUnknown, placer.OutcomeFailed
 	}
 	defer func() { _ = response.Body.Close() }()
-	f.recordNotice(id, server.Name, f.dialect.DecodeResponse(response))
+	if info := f.dialect.DecodeResponse(response); info.ID == call.ID && !match.Repeated() {
+		f.recordNotice(id, server.Name, info)
+	}
 	runsBefore := out.possibleRuns
 	out.possibleRuns++ // until the server states that it did not run the request
 	result, outcome := f.handleResponse(out, match, response)
