forwarder: a response without signature does not close its connection

The fix for repeated refusals also closed connections after unsigned responses that name their request. Their order is certain, and a response without a body has already given the connection to the next request, which would have been broken off. TestUnsignedResponseBreaksOffOthers failed (two connections for two requests) and passes.

--- a/internal/forwarder/repeatedrefusal_test.go
+++ b/internal/forwarder/repeatedrefusal_test.go
@@ -235,3 +235,19 @@
 		assert.Check(t, count+server.runs[id] <= 1, "%s ran %d times elsewhere, %d times here", id, count, server.runs[id])
 	}
 }
+
+// TestUnsignedResponseBreaksOffOthers guards against closing a connection whose responses
+// are in order: the next request may be on it already.
+func TestUnsignedResponseBreaksOffOthers(t *testing.T) {
+	addresses := make(chan string, 2)
+	g := newTestGateway(t, definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}, func(w http.ResponseWriter, r *http.Request) {
+		addresses <- r.RemoteAddr
+		w.Header().Set("Id", r.Header.Get("Id"))
+	})
+	for range cap(addresses) {
+		status, _, err := g.do("POST", "/a", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusBadGateway)
+	}
+	assert.Equal(t, <-addresses, <-addresses)
+}
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -249,7 +249,10 @@
 		return resultDeclined, placer.OutcomeDeclined
 	case !info.Signed || info.ID == "" || response.Header.Get("Content-Encoding") != "":
 		call.record.note = "response without signature or request id, or with a content encoding"
-		return f.discardResponse(match, info)
+		if info.ID == "" {
+			return f.discardResponse(match, info)
+		}
+		return resultUnknown, placer.OutcomeFailed
 	}
 	match.Answered()
 	switch {
@@ -262,7 +265,7 @@
 }
 
 // discardResponse closes the connection of a response that is not known to be the
-// server's to this request. The request may run.
+// server's to this request, as those after it may not be either. The request may run.
 func (f *Forwarder) discardResponse(match *matcher.Match, info ResponseInfo) (attemptResult, placer.Outcome) {
 	if info.NotRun {
 		f.metrics.Count("refusals-not-believed")
