conductor: a second SIGTERM does not end a graceful shutdown, and no signal ends a process that serves

Callers of an instance that got SIGTERM twice had all their requests cut at once, whatever their age, well before the stop limit: the second signal ended the context of the shutdown. Operators' tools send SIGTERM again as a matter of course, and SIGKILL is there for the rest. Besides, SIGHUP or SIGTERM between the opening of the ports and the first signal.Notify ended the process, as did SIGHUP once the reloader had returned.

Signals are now caught before anything is opened and stay caught until the process exits. SIGTERM during a shutdown is logged and changes nothing; a second interrupt still ends it, and its cause is known. The writer of the log outlasts all other tasks: before, it returned first, and what requests logged when they were cut was never written. A task that returns first is named in the log.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -9,9 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -22,7 +20,9 @@
 // Actors is a group of tasks that run together. When one returns, all others
 // are stopped. The zero value is an empty group.
 type Actors struct {
-	group run.Group
+	group   run.Group
+	signals signals
+	last    []lastTask
 }
 
 // Add adds a task that runs until its context ends. The name is for logs and
@@ -31,13 +31,53 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a.group.Add(func() error {
 		err := task(ctx)
-		if err != nil {
+		switch {
+		case err != nil:
 			klog.ErrorS(err, "task failed", "duty", name)
+		case ctx.Err() == nil:
+			klog.InfoS("task ended, which stops all others", "duty", name)
 		}
 		return trace.Wrap(err, "%s", name)
 	}, func(error) { cancel() })
 }
 
+// lastTask is a task whose context ends when all other tasks have returned.
+type lastTask func(ctx context.Context) error
+
+// lastTaskLimit bounds the wait for such tasks at the end of a process.
+const lastTaskLimit = 200 * time.Millisecond
+
+// AddLast adds a task that outlasts all others, such as the writer of the log. The
+// group does not end if it returns, and waits for it only for lastTaskLimit.
+func (a *Actors) AddLast(task func(ctx context.Context) error) {
+	a.last = append(a.last, task)
+}
+
+// runLast starts the last tasks. The function that it returns stops them.
+func (a *Actors) runLast() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, task := range a.last {
+		running.Go(func() {
+			if err := task(ctx); err != nil {
+				klog.ErrorS(err, "last task failed")
+			}
+		})
+	}
+	return func() {
+		cancel()
+		done := make(chan struct{})
+		go func() {
+			running.Wait()
+			close(done)
+		}()
+		select {
+		case <-done:
+		case <-time.After(lastTaskLimit):
+		}
+	}
+}
+
 // Serve adds an HTTP server that serves a listener. The server may be shut down
 // before the group stops; the task then waits until the group does.
 func (a *Actors) Serve(name string, server *http.Server, listener net.Listener) {
@@ -55,6 +95,7 @@
 		case listener := <-listeners:
 			err := server.Serve(listener)
 			if !errors.Is(err, http.ErrServerClosed) {
+				klog.ErrorS(err, "task failed", "duty", name)
 				return trace.Wrap(err, "%s", name)
 			}
 			// Shutdown still waits for requests: returning now would end the process
@@ -77,27 +118,24 @@
 
 // Run runs the tasks until one returns, or until the context ends or SIGTERM or
 // an interrupt arrives. In the latter case it calls stop for a graceful
-// shutdown, and stops the tasks when that returns. A second signal ends the
-// context of stop, so that the process ends at once.
+// shutdown, and stops the tasks when that returns. A second interrupt ends the
+// context of stop, so that the process ends at once; SIGTERM does not, however
+// often it comes.
 func (a *Actors) Run(ctx context.Context, stop func(ctx context.Context)) error {
-	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	a.signals.catch()
+	defer a.signals.release()
+	defer a.runLast()()
 	interrupted := make(chan struct{})
 	a.group.Add(func() error {
-		<-ctx.Done()
-		cancel()
-		secondSignalCtx, cancelSecondSignal := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-		defer cancelSecondSignal()
-		select {
-		case <-interrupted:
+		if !a.signals.awaitStop(ctx, interrupted) {
 			return nil
-		default:
 		}
-		stop(secondSignalCtx)
+		stopCtx, cancel := context.WithCancelCause(context.Background())
+		defer cancel(nil)
+		go a.signals.watchStop(stopCtx, cancel)
+		stop(stopCtx)
 		return nil
-	}, func(error) {
-		close(interrupted)
-		cancel()
-	})
+	}, func(error) { close(interrupted) })
 	return a.group.Run()
 }
 
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -58,10 +58,10 @@
 // The path is that of the settings file. When the file changes, its seed peers
 // are applied; other changes need a restart.
 func RunControl(ctx context.Context, path string, settings loader.Control, dialect ControlDialect) error {
-	client := messenger.NewPlainClient(certifier.Identity{Name: settings.Name, Role: certifier.RoleKeeper})
-	defer client.Close()
 	actors := &conductor.Actors{}
 	initProcess(actors, settings.Fleet)
+	client := messenger.NewPlainClient(certifier.Identity{Name: settings.Name, Role: certifier.RoleKeeper})
+	defer client.Close()
 	c, err := controller.New(settings, dialect.Decode, client)
 	if err != nil {
 		return trace.Wrap(err)
@@ -76,7 +76,7 @@
 		actors.Add(task.Name, task.Run)
 	}
 	actors.Add("beacon-port", func(ctx context.Context) error { return port.Run(ctx, c.HandleBeacon) })
-	actors.Add("reloader", settingsReloader[loader.Control]{path: path, apply: func(next loader.Control) {
+	actors.Add("reloader", settingsReloader[loader.Control]{path: path, hangups: actors.Hangups(), apply: func(next loader.Control) {
 		c.SetSeeds(next.SeedPeers())
 	}}.run)
 	var opener portOpener
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -62,6 +62,8 @@
 // path is that of the settings file. When the file changes, its seed peers are
 // applied; other changes need a restart.
 func RunEntry(ctx context.Context, path string, settings loader.Entry, dialect EntryDialect) error {
+	actors := &conductor.Actors{}
+	initProcess(actors, settings.Fleet)
 	port, err := beaconer.Listen(settings.PeerAddress)
 	if err != nil {
 		return trace.Wrap(err, "peer-address")
@@ -75,8 +77,6 @@
 		Share: settings.RetryShare, Slack: settings.RetrySlack, Window: settings.RetryWindow,
 	})
 
-	actors := &conductor.Actors{}
-	initProcess(actors, settings.Fleet)
 	e.forwarder.UseQuarantine(e.follower)
 	e.forwarder.UseOrigins(e.follower)
 	actors.Add("follower", e.follower.Run)
@@ -84,7 +84,7 @@
 	actors.Add("origins", e.follower.ReportOrigins)
 	actors.Add("beacons", e.follower.SendBeacons)
 	actors.Add("beacon-port", e.follower.ReceiveBeacons)
-	actors.Add("reloader", settingsReloader[loader.Entry]{path: path, apply: func(next loader.Entry) {
+	actors.Add("reloader", settingsReloader[loader.Entry]{path: path, hangups: actors.Hangups(), apply: func(next loader.Entry) {
 		e.follower.AddControlInstances(next.SeedPeers())
 	}}.run)
 	var opener portOpener
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -10,9 +10,7 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -47,11 +45,12 @@
 	}
 }
 
-// initProcess starts logging to standard output and sets the soft memory limit of
+// initProcess catches signals, starts logging to standard output and sets the soft memory limit of
 // the Go runtime, if the settings have a memory limit.
 func initProcess(actors *conductor.Actors, fleet loader.Fleet) {
+	actors.CatchSignals()
 	lines := logger.Start(os.Stdout)
-	actors.Add("logger", lines.Run)
+	actors.AddLast(lines.Run)
 	if fleet.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(fleet.MemoryMB<<20) * softMemoryLimitShare))
 	}
@@ -97,15 +96,13 @@
 // and passes the settings to apply. If the file cannot be read or is invalid,
 // apply is not called.
 type settingsReloader[T any] struct {
-	path  string
-	apply func(settings T)
+	path    string
+	apply   func(settings T)
+	hangups <-chan os.Signal
 }
 
 // run watches for SIGHUP and for changes of the file until ctx ends.
 func (r settingsReloader[T]) run(ctx context.Context) error {
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
-	defer signal.Stop(reloadSignals)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	lastVersion := r.fileVersion()
@@ -113,7 +110,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-reloadSignals:
+		case <-r.hangups:
 			r.reload("signal")
 		case <-ticker.C:
 			if version := r.fileVersion(); version != lastVersion {
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -205,6 +205,7 @@
 	peerServer := messenger.NewServer(ports.peers, credentials, g.calls)
 	defer g.client.Close()
 	actors := &conductor.Actors{}
+	actors.CatchSignals()
 	actors.Add("dispatcher", g.dispatcher.Run)
 	actors.Add("gossip", g.membership.run)
 	actors.Add("evidence", g.membership.evidence.run)
--- a/internal/runner/keeper.go
+++ b/internal/runner/keeper.go
@@ -60,6 +60,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
 	actors := &conductor.Actors{}
+	actors.CatchSignals()
 	for _, task := range k.Tasks() {
 		actors.Add(task.Name, task.Run)
 	}
--- a/internal/runner/standin.go
+++ b/internal/runner/standin.go
@@ -38,6 +38,7 @@
 	defer stopAnnouncing()
 	service := &http.Server{Handler: server, ReadHeaderTimeout: readHeaderTimeout}
 	actors := &conductor.Actors{}
+	actors.CatchSignals()
 	actors.Add("announcer", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, stopAnnouncing)
 		defer stop()
