conductor: a port closes only when no connection waits to be accepted

Looking again before closing is not enough, since callers go on connecting and the draining goes on with them.

A filter on the listening socket now drops the first packet of each new connection, so that nothing new comes while handshakes that have begun end; Accept takes all that wait, and the socket is closed when none does. A caller that connects in those milliseconds is refused, a second later, when its system sends the packet again. Without a filter, draining ends after 150 ms. Multipath TCP is off for these sockets: they take no filter.

--- a/internal/conductor/listener.go
+++ b/internal/conductor/listener.go
@@ -10,12 +10,19 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
+	"k8s.io/klog/v2"
 )
 
-// drainIdleTime is how long no new connection may have arrived before a
-// draining listener is closed: closing a socket resets the connections that
-// wait to be accepted.
-const drainIdleTime = 5 * time.Millisecond
+const (
+	// drainIdleTime is how long no new connection may have arrived before a
+	// draining listener is closed: closing a socket resets the connections that
+	// wait to be accepted.
+	drainIdleTime = 25 * time.Millisecond
+	// drainLimit bounds the draining of a listener, which ends much earlier unless new
+	// connections cannot be kept out.
+	drainLimit = 150 * time.Millisecond
+)
 
 // Listener is a TCP listener that can be drained before it is closed, so that
 // no caller that has already connected has its connection reset.
@@ -30,7 +37,9 @@
 
 // Listen opens a TCP listener on an address, given as host and port.
 func Listen(address string) (*Listener, error) {
-	listener, err := net.Listen("tcp", address)
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // such sockets take no filter
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -42,35 +51,98 @@
 // Accept returns the next connection. Once the listener is drained, it blocks
 // until Close is called and returns net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
+	var drainingSince time.Time
 	for {
 		draining := l.draining.Load()
-		deadlineSetAt := time.Now()
+		now := time.Now()
 		if draining {
-			_ = l.SetDeadline(deadlineSetAt.Add(drainIdleTime)) // on a closed listener, Accept below fails
+			if drainingSince.IsZero() {
+				drainingSince = now
+			}
+			_ = l.SetDeadline(now.Add(drainIdleTime)) // on a closed listener, Accept below fails
+		}
+		conn, err := l.AcceptTCP()
+		if err == nil {
+			return conn, nil
 		}
-		conn, err := l.TCPListener.Accept()
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return conn, err
+			return nil, err
 		}
-		if draining && time.Since(deadlineSetAt) >= drainIdleTime {
-			_ = l.TCPListener.Close() // nothing is lost if the socket fails to close
-			close(l.drained)
-			<-l.closed
-			return nil, net.ErrClosed
+		// A passed deadline ends Accept without a look at the connections that wait.
+		if draining && time.Since(now) >= drainIdleTime && (!l.hasWaiting() || time.Since(drainingSince) >= drainLimit) {
+			return nil, l.finishDrain()
 		}
 	}
 }
 
-// Drain closes the listener at a moment when no new connection is arriving;
-// until then Accept returns those that do. It waits until the listener is
-// closed or the context ends. Accept must be running in another goroutine.
-func (l *Listener) Drain(ctx context.Context) {
-	l.draining.Store(true)
+// hasWaiting reports whether connections wait to be accepted.
+func (l *Listener) hasWaiting() bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	count := 0
+	err = raw.Control(func(descriptor uintptr) {
+		count, err = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && count > 0
+}
+
+// finishDrain closes the socket and waits for Close.
+func (l *Listener) finishDrain() error {
+	_ = l.TCPListener.Close() // nothing is lost if the socket fails to close
+	close(l.drained)
+	<-l.closed
+	return net.ErrClosed
+}
+
+// Drain closes the listener when Accept has returned all connections that callers
+// have opened. Callers that connect meanwhile are refused. It waits until the listener
+// is closed, for twice drainLimit at most. Accept must be running in another goroutine.
+func (l *Listener) Drain() {
+	if l.draining.Swap(true) {
+		return
+	}
+	if err := l.ignoreNewConnections(); err != nil {
+		klog.ErrorS(err, "port closes without a filter: connections that are just being opened may be reset")
+	}
 	_ = l.SetDeadline(time.Now()) // wakes Accept
+	timer := time.NewTimer(2 * drainLimit)
+	defer timer.Stop()
 	select {
 	case <-l.drained:
-	case <-ctx.Done():
+	case <-l.closed:
+	case <-timer.C:
+	}
+}
+
+// Parts of a TCP header.
+const (
+	tcpFlagsOffset = 13
+	tcpFlagSYN     = 0x02
+)
+
+// ignoreNewConnections makes the kernel drop the first packet of each new connection,
+// while the handshakes that have begun go on. The callers send it again after a second
+// and are refused then.
+func (l *Listener) ignoreNewConnections() error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	const keepWhole = 1<<32 - 1
+	program := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
+		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: tcpFlagSYN, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K},
+		{Code: unix.BPF_RET | unix.BPF_K, K: keepWhole},
 	}
+	var optionErr error
+	err = raw.Control(func(descriptor uintptr) {
+		optionErr = unix.SetsockoptSockFprog(int(descriptor), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
+			&unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
+	})
+	return trace.Wrap(errors.Join(err, optionErr))
 }
 
 // Close closes the listener. It can be called more than once.
--- a/internal/conductor/port.go
+++ b/internal/conductor/port.go
@@ -43,7 +43,7 @@
 // server's own Shutdown, without this wait, also closes connections on which a
 // request has just been read.
 func (p *DrainableServer) Close(ctx context.Context, minIdle time.Duration) error {
-	p.Listener.Drain(ctx)
+	p.Listener.Drain()
 	for ctx.Err() == nil && !p.conns.AllIdle(time.Now(), time.Now(), minIdle) {
 		Sleep(ctx, idlePollInterval)
 	}
