conductor: a port's close cuts no request of which a byte has been read, and those open at the limit get an answer

Callers of a kept connection lost requests that crossed the close of a port: net/http calls a connection idle until the head of its next request has been read whole, so Shutdown closed it under a request that was then still passed on to a server. What was open when the shutdown's time was over had its connection closed without an answer, and a port that was closed after its time waited for an Accept that no longer ran.

A connection now knows whether bytes have been read since its last response, and is closed only while none has, under the same lock: a request that crosses the close is never read.

--- a/internal/conductor/connections.go
+++ b/internal/conductor/connections.go
@@ -1,12 +1,79 @@
 package conductor
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 )
 
+// portConn is a connection that a [Listener] has accepted. It can be closed at a moment
+// when no byte of a request has been read from it.
+type portConn struct {
+	*net.TCPConn
+
+	mu sync.Mutex
+	// reading means that bytes have been read since the last response.
+	reading bool
+	closed  bool
+}
+
+func newPortConn(conn *net.TCPConn) *portConn {
+	return &portConn{TCPConn: conn}
+}
+
+// Read implements net.Conn. What arrives after closeIfUnread is discarded.
+func (c *portConn) Read(buffer []byte) (int, error) {
+	n, err := c.TCPConn.Read(buffer)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	c.reading = true
+	return n, err
+}
+
+// endRequest records that the response to a request has been written.
+func (c *portConn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+}
+
+// closeIfUnread closes the connection unless bytes of a request have been read. It
+// reports whether the connection is closed.
+func (c *portConn) closeIfUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		return false
+	}
+	c.closed = true
+	_ = c.Close() // the caller may have closed it
+	return true
+}
+
+func (c *portConn) isReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reading
+}
+
+// portConnOf returns the accepted connection under a server's connection, or nil if a
+// Listener has not accepted it.
+func portConnOf(conn net.Conn) *portConn {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	accepted, _ := conn.(*portConn)
+	return accepted
+}
+
 // ConnTracker tracks the open connections of an HTTP server, so that a graceful
 // shutdown can wait until none of them is likely to carry another request. Set
 // Track as the server's ConnState hook. The zero value is ready to use. It is
@@ -24,6 +91,9 @@
 
 // Track records a connection's change of state.
 func (c *ConnTracker) Track(conn net.Conn, state http.ConnState) {
+	if accepted := portConnOf(conn); accepted != nil && state == http.StateIdle {
+		accepted.endRequest()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
@@ -47,11 +117,58 @@
 func (c *ConnTracker) AllIdle(now, openedBefore time.Time, minIdle time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, tracked := range c.openConns {
-		busy := tracked.state != http.StateIdle || now.Sub(tracked.stateSince) < minIdle
-		if busy && tracked.openedAt.Before(openedBefore) {
+	for conn, tracked := range c.openConns {
+		if !tracked.isIdle(conn, now, minIdle) && tracked.openedAt.Before(openedBefore) {
 			return false
 		}
 	}
 	return true
 }
+
+// isIdle reports whether a connection has been idle for at least minIdle. net/http
+// calls one idle until the head of the next request has been read whole.
+func (t trackedConn) isIdle(conn net.Conn, now time.Time, minIdle time.Duration) bool {
+	accepted := portConnOf(conn)
+	return t.state == http.StateIdle && now.Sub(t.stateSince) >= minIdle && (accepted == nil || !accepted.isReading())
+}
+
+// minNewIdle is how long after its opening a connection is closed that has sent nothing.
+const minNewIdle = time.Second
+
+// CloseIdle closes the connections that have been idle for at least minIdle, and those
+// that have sent nothing for minNewIdle after they were opened. It returns the number of the
+// others. No connection is closed from which a byte of a request has been read.
+func (c *ConnTracker) CloseIdle(now time.Time, minIdle time.Duration) (others int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, tracked := range c.openConns {
+		accepted := portConnOf(conn)
+		if accepted == nil || !tracked.isResting(now, minIdle) || !accepted.closeIfUnread() {
+			others++
+		}
+	}
+	return others
+}
+
+func (t trackedConn) isResting(now time.Time, minIdle time.Duration) bool {
+	elapsed := now.Sub(t.stateSince)
+	switch t.state {
+	case http.StateIdle:
+		return elapsed >= minIdle
+	case http.StateNew:
+		return elapsed >= max(minIdle, minNewIdle)
+	}
+	return false
+}
+
+// Active returns the number of connections on which a request is being read or served.
+func (c *ConnTracker) Active() (count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, tracked := range c.openConns {
+		if accepted := portConnOf(conn); tracked.state == http.StateActive || accepted != nil && accepted.isReading() {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/conductor/listener.go
+++ b/internal/conductor/listener.go
@@ -63,7 +63,7 @@
 		}
 		conn, err := l.AcceptTCP()
 		if err == nil {
-			return conn, nil
+			return newPortConn(conn), nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -365,7 +364,7 @@
 		klog.ErrorS(err, "failed to reset the connection of an HTTP/1.0 caller")
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is already closed
 	}
 	_ = conn.Close()
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -83,6 +83,8 @@
 	callerPort    atomic.Pointer[conductor.DrainableServer]
 	backendServer *http.Server
 	relayServer   *http.Server
+	backendPort   *conductor.DrainableServer
+	relayPort     *conductor.DrainableServer
 	calls         *messenger.Mux
 }
 
@@ -158,6 +160,7 @@
 		Handler:           &relayHandler{follower: g.follower, serve: relayed.Serve},
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
+	g.relayPort = conductor.NewDrainableServer(g.relayServer)
 	g.registerCalls(lending)
 }
 
@@ -221,7 +224,7 @@
 	actors.Add("catch-up", g.configWatcher.catchUp)
 	actors.Add("peers", peerServer.Run)
 	actors.Serve("relays", g.relayServer, peerServer.HTTPListener())
-	actors.Serve("backends", g.backendServer, ports.backends)
+	actors.Serve("backends", g.backendServer, ports.backends.Listener)
 	callers := make(chan net.Listener, 1)
 	actors.ServeWhenOpened("callers", g.callerServer, callers)
 	actors.Add("starter", func(ctx context.Context) error { return g.openCallerPort(ctx, callers) })
@@ -230,16 +233,18 @@
 
 // ports are the listeners that an entry instance opens at once.
 type ports struct {
-	backends, peers net.Listener
+	backends *conductor.DrainableServer
+	peers    net.Listener
 }
 
 func (g *Gate) listen() (ports, error) {
 	var p ports
 	var err error
-	if p.backends, err = net.Listen("tcp", g.settings.BackendAddress.String()); err != nil {
+	if p.backends, err = conductor.NewPort(g.backendServer, g.settings.BackendAddress.String()); err != nil {
 		return p, trace.Wrap(err, "backend-address")
 	}
-	if p.peers, err = net.Listen("tcp", g.settings.PeerAddress.String()); err != nil {
+	g.backendPort = p.backends
+	if p.peers, err = conductor.Listen(g.settings.PeerAddress.String()); err != nil {
 		return p, trace.Wrap(err, "peer-address")
 	}
 	return p, nil
@@ -338,6 +343,7 @@
 	defer cancel()
 	klog.InfoS("stopping", "open-requests", g.auth.InFlight())
 	g.closer.activate()
+	g.relayPort.CloseConnections()
 	g.membership.announceState(ctx, gossiper.StateStopping)
 	g.grants.surrender(ctx)
 	conductor.Sleep(ctx, cmp.Or(g.settings.StopLinger, defaultStopLinger))
@@ -349,11 +355,12 @@
 			klog.ErrorS(err, "requests cut at the stop limit")
 		}
 	}
-	for _, server := range []*http.Server{g.relayServer, g.backendServer} {
-		if err := server.Shutdown(ctx); err != nil {
+	for _, port := range []*conductor.DrainableServer{g.relayPort, g.backendPort} {
+		if err := port.Close(ctx, 0); err != nil {
 			klog.ErrorS(err, "requests cut at the stop limit")
 		}
 	}
+	klog.InfoS("stopped", "open-requests", g.auth.InFlight(), "took", time.Since(began))
 }
 
 func (g *Gate) serveMetrics(w http.ResponseWriter, _ *http.Request) {
--- a/internal/runner/keeper.go
+++ b/internal/runner/keeper.go
@@ -48,10 +48,6 @@
 	if err != nil {
 		return trace.Wrap(err, "peer-address")
 	}
-	operators, err := net.Listen("tcp", settings.OperatorAddress.String())
-	if err != nil {
-		return trace.Wrap(err, "operator-address")
-	}
 	mux := &messenger.Mux{}
 	k.Register(mux)
 	api := &http.Server{
@@ -59,18 +55,24 @@
 		TLSConfig:         credentials.ServerConfig("http/1.1"),
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
+	operators, err := conductor.NewPort(api, settings.OperatorAddress.String())
+	if err != nil {
+		return trace.Wrap(err, "operator-address")
+	}
 	actors := &conductor.Actors{}
 	actors.CatchSignals()
 	for _, task := range k.Tasks() {
 		actors.Add(task.Name, task.Run)
 	}
 	actors.Add("peers", messenger.NewServer(peers, credentials, mux).Run)
-	actors.ServeTLS("operators", api, operators)
+	actors.ServeTLS("operators", api, operators.Listener)
 	klog.InfoS("keeper ready", "name", settings.Name, "operators", settings.OperatorAddress.String())
 	return actors.Run(ctx, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, keeperStopLimit)
 		defer cancel()
 		k.TransferLeadership(ctx)
-		_ = api.Shutdown(ctx)
+		if err := operators.Close(ctx, 0); err != nil {
+			klog.ErrorS(err, "calls cut at the stop limit")
+		}
 	})
 }
--- a/internal/runner/standin.go
+++ b/internal/runner/standin.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -25,10 +24,6 @@
 // RunStandin runs a stand-in backend server, which announces itself to the entry
 // instances in its settings, until a signal has stopped it gracefully.
 func RunStandin(ctx context.Context, settings loader.Standin) error {
-	listener, err := net.Listen("tcp", settings.Address.String())
-	if err != nil {
-		return trace.Wrap(err, "address")
-	}
 	server := &imitator.Server{Name: settings.Name, TokenInterval: cmp.Or(settings.TokenInterval, defaultTokenInterval)}
 	announcer := &imitator.Announcer{
 		Server: server, Address: settings.Address, Instances: settings.Announce, Pools: settings.Pools,
@@ -36,7 +31,10 @@
 	}
 	announceCtx, stopAnnouncing := context.WithCancel(ctx)
 	defer stopAnnouncing()
-	service := &http.Server{Handler: server, ReadHeaderTimeout: readHeaderTimeout}
+	service, err := conductor.NewPort(&http.Server{Handler: server, ReadHeaderTimeout: readHeaderTimeout}, settings.Address.String())
+	if err != nil {
+		return trace.Wrap(err, "address")
+	}
 	actors := &conductor.Actors{}
 	actors.CatchSignals()
 	actors.Add("announcer", func(ctx context.Context) error {
@@ -48,7 +46,7 @@
 		<-ctx.Done()
 		return nil
 	})
-	actors.Serve("service", service, listener)
+	actors.Serve("service", service.Server, service.Listener)
 	klog.InfoS("stand-in ready", "name", settings.Name, "address", settings.Address.String())
 	return actors.Run(ctx, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, standinStopLimit)
@@ -56,6 +54,8 @@
 		stopAnnouncing()
 		announcer.Announce(ctx, "leaving")
 		conductor.Sleep(ctx, time.Second)
-		_ = service.Shutdown(ctx)
+		if err := service.Close(ctx, 0); err != nil {
+			klog.ErrorS(err, "requests cut at the stop limit")
+		}
 	})
 }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/boragehead/boragehead/internal/authenticator"
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/detector"
 	"github.com/boragehead/boragehead/internal/dispatcher"
 	"github.com/boragehead/boragehead/internal/exchanger"
@@ -314,6 +315,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), authenticator.ErrKeyInvalidated):
 		refusal = exchanger.Refuse(http.StatusUnauthorized, exchanger.CodeKeyWithdrawn, "this key no longer counts here")
+	case errors.Is(context.Cause(ctx), conductor.ErrStopping):
+		refusal = exchanger.Refuse(http.StatusServiceUnavailable, exchanger.CodeStopping, "this instance stops").WithRetryAfter(time.Second)
 	case errors.Is(ctx.Err(), context.Canceled):
 		refusal = exchanger.Refuse(http.StatusRequestTimeout, exchanger.CodeCancelled, "the caller has gone")
 	}
