forwarder: a stopping instance takes only what ends by its own deadline, and says what its stop ended

Callers saw requests cut at the end of a planned stop, 7.75 s after SIGTERM: streams and others, sent 3 s after it or later. From then on the instance took what it predicted to end in time, 2.5 times over. The prediction goes by the caller's estimate of the output and by the load of the last moments, and was wrong for long answers and overloaded servers.

From 3 s on an instance now takes a request only if its deadline, the caller's or the route's, is before the end of the stop, and refuses others at once with 503 stopping: when the head has come, and again when the body has. Relayed requests, too: they were not checked at all. At the end, a request that is still being read or waits gets 503, one that a server may have run 502, a stream that has begun breaks off; the relays' port is drained like the callers'.

Each request in progress has a phase. A stop logs and counts what it ends, by id, phase and age, and why it ended.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -49,6 +49,7 @@
 	}
 	request := f.placementRequest(call)
 	for try := 0; ; try++ {
+		call.open.enter(phaseChoice)
 		if try > 0 {
 			if refusal := f.quarantineRefusal(out, try); refusal != nil {
 				return refusal
@@ -67,10 +68,6 @@
 		if decision.RefusalReason != "" {
 			return f.giveUpUnplaced(ctx, out, decision)
 		}
-		if try == 0 && !call.Relayed && !f.endsBeforeStop(decision) {
-			f.fleet.Finish(request.ID, placer.OutcomeAbandoned)
-			return &Refusal{Status: http.StatusServiceUnavailable, Reason: "stopping", RetryAfter: stoppingRetryAfter}
-		}
 		call.record.note, call.record.received = "", receivedBody{}
 		result := f.makeAttempt(ctx, out, request.ID, decision)
 		if result == resultAnswered {
@@ -97,9 +94,11 @@
 	record.attempts++
 	record.predictedWait, record.cachedTokens, record.usableServers = decision.PredictedWait, decision.CachedTokens, decision.UsableServers
 	if decision.Region != "" {
+		out.call.open.enter(phaseRelay)
 		record.relayRegion, record.server, record.serverVersion = decision.Region, "", ""
 		return f.sendToRegion(ctx, out, decision)
 	}
+	out.call.open.enter(phaseServer)
 	record.server, record.serverVersion = decision.Server.Name, decision.Server.Version
 	out.offeredToServer = true
 	out.attemptVersion = decision.Server.Version
@@ -167,6 +166,8 @@
 		return nil
 	case out.serverFailure != nil:
 		return out.writeServerFailure()
+	case isCutByStop(ctx):
+		return cutByStopRefusal(runs)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return &Refusal{Status: statusCallerGone, Reason: "caller-gone", MayHaveRun: runs > 0, PossibleRuns: runs}
 	case ctx.Err() != nil && runs > 0:
--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -77,8 +78,10 @@
 	if !f.bodyMemory.tryReserve(expected) {
 		return 0, &Refusal{Status: http.StatusServiceUnavailable, Reason: "memory", RetryAfter: time.Second}
 	}
+	call.open.enter(phaseBody)
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(call.Deadline) // without support for deadlines, reads are not bounded
+	defer context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })()
 	var buffer bytes.Buffer
 	buffer.Grow(int(expected))
 	_, err := io.Copy(&buffer, http.MaxBytesReader(w, r.Body, limit))
@@ -89,6 +92,9 @@
 	switch {
 	case errors.As(err, &exceeded):
 		return size, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body-too-large"}
+	case err != nil && isCutByStop(r.Context()):
+		_ = control.SetReadDeadline(time.Unix(1, 0)) // net/http does not read on before the refusal is sent
+		return size, cutByStopRefusal(0)
 	case err != nil && time.Now().After(call.Deadline):
 		return size, &Refusal{Status: http.StatusRequestTimeout, Reason: "body-late"}
 	case err != nil:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -75,6 +75,8 @@
 	// quarantined.
 	probe  bool
 	record callRecord
+	// open is nil for a call that no handler serves.
+	open *openRequest
 }
 
 // callRecord holds what the log line and the metrics report about a call.
@@ -198,12 +200,11 @@
 	bodyMemory      byteBudget
 	responseMemory  reserver.Budget
 	lastPlacementID atomic.Uint64
-	activeRequests  atomic.Int64
+	openRequests    openRequests
 	// closingConnections means that every response asks the caller to close its
 	// connection.
 	closingConnections atomic.Bool
-	// stopDeadline, unless nil, is when requests still in progress will be cut
-	// off.
+	// stopDeadline, unless nil, is when requests still in progress will be ended.
 	stopDeadline atomic.Pointer[time.Time]
 
 	// noticeLogLimiter limits the log lines about what servers say about themselves.
@@ -242,45 +243,18 @@
 	f.closingConnections.Store(true)
 }
 
-// RefuseEndingAfter makes the forwarder refuse new requests that are not
-// expected to finish before end.
-func (f *Forwarder) RefuseEndingAfter(end time.Time) {
-	f.stopDeadline.Store(&end)
-}
-
-// stopPredictionMargin is the factor by which a request may exceed its predicted
-// duration and still finish before the stop.
-const stopPredictionMargin = 2.5
-
-// endsBeforeStop reports whether a request that is placed now is expected to
-// finish before this instance stops. While it stops, no new request is relayed:
-// the end of a request is predicted only for servers of this region.
-func (f *Forwarder) endsBeforeStop(decision placer.Decision) bool {
-	deadline := f.stopDeadline.Load()
-	if deadline == nil {
-		return true
-	}
-	expected := max(decision.PredictedDuration, decision.PredictedWait)
-	return decision.Region == "" && time.Duration(stopPredictionMargin*float64(expected)) < time.Until(*deadline)
-}
-
-// ActiveRequests returns the number of requests in progress, including relayed
-// ones.
-func (f *Forwarder) ActiveRequests() int {
-	return int(f.activeRequests.Load())
-}
-
 // ServeHTTP implements http.Handler. It panics with http.ErrAbortHandler if a
 // stream that has partly reached the caller can't be completed.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.activeRequests.Add(1)
-	defer f.activeRequests.Add(-1)
 	arrived := time.Now()
+	open := f.openRequests.add(arrived)
+	defer f.openRequests.remove(open)
 	if f.closingConnections.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	call, err := f.dialect.DecodeRequest(r)
-	call.Request, call.Arrived = r, arrived
+	call.Request, call.Arrived, call.open = r, arrived, open
+	open.setID(call.ID)
 	if err != nil {
 		f.finish(w, &call, &Refusal{Status: http.StatusBadRequest, Reason: err.Error()})
 		return
@@ -302,11 +276,15 @@
 // serve runs the checks on a call, reads its body, charges the quota and makes
 // the attempts. It returns nil if the caller has got a server's response.
 func (f *Forwarder) serve(w http.ResponseWriter, call *Call) *Refusal {
+	call.open.enter(phaseChecks)
 	f.waitWhileStarting(call.Request.Context(), func() bool { return f.fleet.View() != nil })
 	if f.fleet.View() == nil {
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no-definition", RetryAfter: time.Second}
 	}
 	view, refusal := f.resolve(call)
+	if refusal == nil {
+		refusal = f.stoppingRefusal(call)
+	}
 	if refusal != nil {
 		return refusal
 	}
@@ -324,6 +302,9 @@
 	case refusal != nil:
 		return refusal
 	}
+	if refusal := f.stoppingRefusal(call); refusal != nil { // the stop may have begun since
+		return refusal
+	}
 	return f.chargeAndForward(w, call)
 }
 
@@ -344,10 +325,6 @@
 	}
 }
 
-// stoppingRetryAfter is the time after which a caller should try another
-// instance because this one is stopping.
-const stoppingRetryAfter = 50 * time.Millisecond
-
 // chargeAndForward charges the workspace's quota and makes the attempts. It
 // refunds the charge if the call is refused and no server can have run it.
 func (f *Forwarder) chargeAndForward(w http.ResponseWriter, call *Call) *Refusal {
--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -176,6 +176,7 @@
 
 // noteFirstByte records that a server's response has begun.
 func (r *callerResponse) noteFirstByte() {
+	r.call.open.enter(phaseAnswer)
 	if r.call.record.timeToFirstByte == 0 {
 		r.call.record.timeToFirstByte = time.Since(r.call.Arrived)
 	}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -177,14 +177,19 @@
 // serveRelayed serves one relayed request. A refusal is reported to the relaying
 // instance by status and headers alone, without a body.
 func (f *Forwarder) serveRelayed(w http.ResponseWriter, r *http.Request) {
-	f.activeRequests.Add(1)
-	defer f.activeRequests.Add(-1)
+	open := f.openRequests.add(time.Now())
+	defer f.openRequests.remove(open)
+	if f.closingConnections.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	call, err := decodeRelayedCall(r)
 	if err != nil {
 		w.Header().Set(headerOutcome, outcomeNotRun)
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	call.open = open
+	open.setID(call.ID)
 	refusal := f.forwardRelayed(w, call)
 	if refusal != nil {
 		call.record.status = refusal.Status
@@ -208,6 +213,10 @@
 // forwardRelayed reads the body of a relayed call and makes the attempts. A call
 // that this region may not serve is refused before its body is read.
 func (f *Forwarder) forwardRelayed(w http.ResponseWriter, call *Call) *Refusal {
+	call.open.enter(phaseChecks)
+	if refusal := f.stoppingRefusal(call); refusal != nil {
+		return refusal
+	}
 	if !f.mayServeHere(call) {
 		moved := call.homesVersion > call.record.definitionVersion
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "not-home", HomesMoved: moved}
@@ -220,6 +229,9 @@
 	}
 	size, refusal := f.readBody(w, call, call.maxBody)
 	defer f.bodyMemory.release(size)
+	if refusal == nil {
+		refusal = f.stoppingRefusal(call)
+	}
 	if refusal != nil {
 		return refusal
 	}
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -94,9 +94,10 @@
 	return actors.Run(ctx, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, controlStopLimit)
 		defer cancel()
+		began := time.Now()
 		klog.InfoS("stopping")
 		c.TransferLeadership(ctx)
-		_ = operators.Close(ctx, 0) // connections that are still open at the limit are cut
-		_ = directory.Close(ctx, 0)
+		cut := closeAll(ctx, operators, directory)
+		klog.InfoS("stopped", "reason", stopReason(ctx), "cut", cut, "took", time.Since(began))
 	})
 }
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -1,10 +1,8 @@
 package launcher
 
 import (
-	"cmp"
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
@@ -21,25 +19,6 @@
 	"github.com/boragehead/boragehead/internal/messenger"
 )
 
-// Durations of a graceful shutdown. Those of its phases count from its start.
-const (
-	// defaultStopLimit limits the whole shutdown.
-	defaultStopLimit = 8 * time.Second
-	// stopRejectAfter is when the instance begins to reject requests that are not
-	// expected to end well before it stops.
-	stopRejectAfter = 3 * time.Second
-	// stopLinger is how long the instance accepts connections at least. It is
-	// longer than callers may cache a directory that still lists the instance.
-	stopLinger = 4500 * time.Millisecond
-	// stopReserve is the time before the limit that is kept for closing
-	// connections.
-	stopReserve      = 500 * time.Millisecond
-	stopPollInterval = 50 * time.Millisecond
-	// stopIdleTime is how long a connection must have been idle before it is
-	// closed.
-	stopIdleTime = time.Second
-)
-
 // EntryDialect implements the external protocols of an entry instance.
 type EntryDialect interface {
 	forwarder.Dialect
@@ -55,7 +34,9 @@
 	settings   loader.Entry
 	follower   *follower.Follower
 	forwarder  *forwarder.Forwarder
+	counters   *measurer.Measurer
 	callerPort *conductor.DrainableServer
+	relayPort  *conductor.DrainableServer
 }
 
 // RunEntry runs an entry instance until a signal has stopped it gracefully. The
@@ -71,7 +52,7 @@
 	client := messenger.NewPlainClient(certifier.Identity{Name: settings.Name, Role: certifier.RoleGate})
 	defer client.Close()
 	counters := measurer.New()
-	e := &Entry{settings: settings}
+	e := &Entry{settings: settings, counters: counters}
 	e.follower = follower.New(settings, controller.Decoder(dialect.Decode), client, port)
 	e.forwarder = forwarder.New(dialect, e.follower, counters, forwarder.RetryLimit{
 		Share: settings.RetryShare, Slack: settings.RetrySlack, Window: settings.RetryWindow,
@@ -90,7 +71,7 @@
 	var opener portOpener
 	opener.serve(actors, "metrics", settings.MetricsAddress(), counters)
 	opener.serve(actors, "ready", settings.ReadyAddress, dialect.ReadyHandler(e.follower.Ready))
-	opener.serve(actors, "relays", settings.RelayAddress(), e.forwarder.RelayHandler())
+	e.relayPort = opener.serve(actors, "relays", settings.RelayAddress(), e.forwarder.RelayHandler())
 	e.callerPort = opener.serve(actors, "callers", settings.CallerAddress, e.forwarder)
 	if opener.err != nil {
 		return opener.err
@@ -98,40 +79,3 @@
 	klog.InfoS("entry instance started", "name", settings.Name, "region", settings.Region, "callers", settings.CallerAddress.String())
 	return actors.Run(ctx, e.stop)
 }
-
-// stop shuts the instance down gracefully: it leaves the directory, goes on
-// serving while callers still use it, rejects new requests that could not end
-// in time, and closes the callers' port when the last request has ended or the
-// stop limit is reached.
-func (e *Entry) stop(ctx context.Context) {
-	began := time.Now()
-	limit := cmp.Or(e.settings.StopLimit, defaultStopLimit) - stopReserve
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	klog.InfoS("stopping", "active", e.forwarder.ActiveRequests())
-	e.follower.Stop()
-	e.forwarder.CloseConnections()
-	conductor.Sleep(ctx, stopRejectAfter)
-	if deadline, bounded := ctx.Deadline(); bounded {
-		e.forwarder.RefuseEndingAfter(deadline)
-	}
-	for ctx.Err() == nil && (e.forwarder.ActiveRequests() > 0 || time.Since(began) < stopLinger || !e.callerPort.AllIdle(began, stopIdleTime)) {
-		conductor.Sleep(ctx, stopPollInterval)
-	}
-	klog.InfoS("stopped", "active", e.forwarder.ActiveRequests(), "took", time.Since(began))
-	closePort(ctx, e.callerPort)
-}
-
-// closePort closes a port whose clients should have left it. Some may still come
-// while it closes: their requests have until the end of the context, and
-// stopReserve/2 at least.
-func closePort(ctx context.Context, port *conductor.DrainableServer) {
-	if err := port.Close(ctx, 0); err == nil {
-		return
-	}
-	closeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopReserve/2)
-	defer cancel()
-	if err := port.Close(closeCtx, 0); err != nil {
-		klog.ErrorS(err, "requests cut at the stop limit")
-	}
-}
--- a/internal/launcher/entry_test.go
+++ b/internal/launcher/entry_test.go
@@ -32,7 +32,7 @@
 	go func() { served <- server.Serve(port.Listener) }()
 	ctx, cancel := context.WithTimeout(t.Context(), 10*stopReserve)
 	defer cancel()
-	closePort(ctx, port)
+	assert.Assert(t, !closeAll(ctx, port))
 	_ = server.Close() // as the process does when it ends
 	assert.ErrorIs(t, <-served, http.ErrServerClosed)
 	text, err := io.ReadAll(conn)
--- /dev/null
+++ b/internal/launcher/stop.go
@@ -0,0 +1,114 @@
+package launcher
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/boragehead/boragehead/internal/conductor"
+	"github.com/boragehead/boragehead/internal/forwarder"
+)
+
+// Durations of a graceful shutdown. Those of its phases count from its start.
+const (
+	// defaultStopLimit limits the whole shutdown.
+	defaultStopLimit = 8 * time.Second
+	// stopRejectAfter is when the instance begins to reject requests whose deadline is
+	// after the end of the stop.
+	stopRejectAfter = 3 * time.Second
+	// stopLinger is how long the instance accepts connections at least. It is
+	// longer than callers may cache a directory that still lists the instance.
+	stopLinger = 4500 * time.Millisecond
+	// stopReserve is the time before the limit that is kept for closing
+	// connections.
+	stopReserve      = 500 * time.Millisecond
+	stopPollInterval = 50 * time.Millisecond
+	// stopIdleTime is how long a connection must have been idle before it is
+	// closed.
+	stopIdleTime = time.Second
+)
+
+// maxEndedLines bounds the log lines about requests that a stop ends.
+const maxEndedLines = 100
+
+// stop shuts the instance down gracefully: it leaves the directory, goes on
+// serving while callers still use it, rejects new requests that could not end
+// in time, and closes its ports when the last request has ended or the stop limit is
+// reached.
+func (e *Entry) stop(ctx context.Context) {
+	began := time.Now()
+	limit := cmp.Or(e.settings.StopLimit, defaultStopLimit) - stopReserve
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	klog.InfoS("stopping", "active", e.forwarder.ActiveRequests())
+	e.follower.Stop()
+	e.forwarder.CloseConnections()
+	conductor.Sleep(ctx, stopRejectAfter)
+	e.forwarder.RefuseEndingAfter(began.Add(limit))
+	for ctx.Err() == nil && (e.forwarder.ActiveRequests() > 0 || time.Since(began) < stopLinger || !e.callerPort.AllIdle(began, stopIdleTime)) {
+		conductor.Sleep(ctx, stopPollInterval)
+	}
+	e.closePorts(ctx, began)
+}
+
+// closePorts closes the ports of callers and relays, and reports the requests that are
+// still open when the context ends.
+func (e *Entry) closePorts(ctx context.Context, began time.Time) {
+	stopReport := context.AfterFunc(ctx, func() { e.reportEnded(began) })
+	cut := closeAll(ctx, e.callerPort, e.relayPort)
+	reason := stopReason(ctx)
+	stopReport()
+	klog.InfoS("stopped", "reason", reason, "active", e.forwarder.ActiveRequests(), "cut", cut, "took", time.Since(began))
+}
+
+// stopReason returns why a stop ended: all requests were served, its limit was reached,
+// or it was interrupted.
+func stopReason(ctx context.Context) string {
+	switch {
+	case ctx.Err() == nil:
+		return "all-served"
+	case errors.Is(context.Cause(ctx), conductor.ErrInterrupted):
+		return "interrupted"
+	}
+	return "limit"
+}
+
+// reportEnded logs and counts the requests that are open when a stop reaches its end.
+func (e *Entry) reportEnded(began time.Time) {
+	now := time.Now()
+	open := e.forwarder.OpenRequests()
+	slices.SortFunc(open, func(a, b forwarder.OpenRequest) int { return a.Arrived.Compare(b.Arrived) })
+	countByPhase := map[string]int{}
+	for i, request := range open {
+		countByPhase[request.Phase]++
+		e.counters.Count("requests-ended-by-stop-" + request.Phase)
+		if i < maxEndedLines {
+			klog.InfoS("request ended by the stop", "id", request.ID, "phase", request.Phase, "age", now.Sub(request.Arrived),
+				"stopping-for", now.Sub(began))
+		}
+	}
+	klog.InfoS("requests ended by the stop", "count", len(open), "phases", countByPhase, "not-listed", max(len(open)-maxEndedLines, 0))
+}
+
+// closeAll closes ports side by side. It reports whether connections were cut on which
+// a request was open.
+func closeAll(ctx context.Context, ports ...*conductor.DrainableServer) (cut bool) {
+	errs := make([]error, len(ports))
+	var closing sync.WaitGroup
+	for i, port := range ports {
+		closing.Go(func() { errs[i] = port.Close(ctx, 0) })
+	}
+	closing.Wait()
+	for _, err := range errs {
+		if err != nil {
+			klog.ErrorS(err, "requests cut at the stop limit")
+			cut = true
+		}
+	}
+	return cut
+}
