launcher: requests that are open at the end of a stop are listed before they end, and end while the port still drains

They got their answers only after the port had drained, which may take 300 ms beside a load, of the 500 ms that are kept for closing. The list of what the stop ends was made at the same moment, so that some had left it.

--- a/internal/conductor/port.go
+++ b/internal/conductor/port.go
@@ -96,6 +96,7 @@
 // ErrRequestsCut if one has not.
 func (p *DrainableServer) Close(ctx context.Context, minIdle time.Duration) error {
 	p.CloseConnections()
+	defer context.AfterFunc(ctx, func() { p.endRequests(ErrStopping) })()
 	if p.Listener != nil {
 		p.Listener.Drain()
 	}
@@ -103,7 +104,6 @@
 	for ctx.Err() == nil && p.conns.CloseIdle(time.Now(), minIdle) > 0 {
 		Sleep(ctx, idlePollInterval)
 	}
-	p.endRequests(ErrStopping)
 	answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
 	defer cancel()
 	for answerCtx.Err() == nil && p.conns.CloseIdle(time.Now(), minCloseIdle) > 0 && p.conns.Active() > 0 {
--- a/internal/launcher/stop.go
+++ b/internal/launcher/stop.go
@@ -59,10 +59,15 @@
 // closePorts closes the ports of callers and relays, and reports the requests that are
 // still open when the context ends.
 func (e *Entry) closePorts(ctx context.Context, began time.Time) {
-	stopReport := context.AfterFunc(ctx, func() { e.reportEnded(began) })
-	cut := closeAll(ctx, e.callerPort, e.relayPort)
+	requestsCtx, endRequests := context.WithCancel(context.WithoutCancel(ctx))
+	defer endRequests()
+	stopWaiting := context.AfterFunc(ctx, func() {
+		e.reportEnded(began) // before they end
+		endRequests()
+	})
+	cut := closeAll(requestsCtx, e.callerPort, e.relayPort)
 	reason := stopReason(ctx)
-	stopReport()
+	stopWaiting()
 	klog.InfoS("stopped", "reason", reason, "active", e.forwarder.ActiveRequests(), "cut", cut, "took", time.Since(began))
 }
 
