messenger: an error of the listener does not end the process

Any task that returns ends all others, and with them the process and all of its requests. The server of the peer port returned at the first error of Accept, such as too many open files, in control instances and in both kinds of the own stack's processes. net/http and the port of beacons go on after such errors; now it does, too, and logs them. Found by reading, for the same class: a process that ends before its stop.

TestTooManyOpenFilesDoNotEndServer on the code before: "dial tcp4: connect: connection reset by peer", as the listener is closed.

--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -15,8 +15,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/conductor"
 )
 
 // Protocols of the peer port, as negotiated with ALPN.
@@ -116,8 +118,13 @@
 	return s.httpListener
 }
 
-// Run accepts connections until the context ends. It then closes the listener
-// and the connections that carry calls, and returns when these have ended.
+// acceptRetryDelay is the delay after an error of the listener, such as too many open
+// files.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// Run accepts connections until the context ends or the listener is closed. It then
+// closes the listener and the connections that carry calls, and returns when these have
+// ended. Other errors of the listener are logged and do not end it.
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
@@ -129,7 +136,9 @@
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			return trace.Wrap(err)
+			klog.ErrorS(err, "cannot accept a connection")
+			conductor.Sleep(ctx, acceptRetryDelay)
+			continue
 		}
 		s.serving.Go(func() { s.serve(ctx, conn) })
 	}
--- a/internal/messenger/server_test.go
+++ b/internal/messenger/server_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -45,3 +47,41 @@
 		t.Fatal("the server has not stopped after 5 s")
 	}
 }
+
+// exhaustedListener fails once, as it does when the process has too many open files.
+type exhaustedListener struct {
+	net.Listener
+	once sync.Once
+}
+
+func (l *exhaustedListener) Accept() (conn net.Conn, err error) {
+	l.once.Do(func() { err = syscall.EMFILE })
+	if err != nil {
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
+// TestTooManyOpenFilesDoNotEndServer guards against the end of the whole process: it ends
+// with the first task that returns.
+func TestTooManyOpenFilesDoNotEndServer(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewPlainServer(&exhaustedListener{Listener: listener}, &Mux{})
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Run(ctx) }()
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = sendHello(ctx, conn, certifier.Identity{Name: "a", Role: certifier.RoleKeeper})
+	assert.NilError(t, err)
+	select {
+	case err := <-stopped:
+		t.Fatalf("the server has ended: %v", err)
+	case <-time.After(4 * acceptRetryDelay):
+	}
+	cancel()
+	assert.NilError(t, <-stopped)
+}
