--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(GO) test -race ./...
 
 soak:
-	$(GO) test ./platform/soak -count 1 -timeout 30m -parallel 4 -soak.seeds $(SEEDS)
+	$(GO) test ./platform/soak -count 1 -timeout 30m -parallel 4 -soak.seeds $(SEEDS) -soak.stops $(SEEDS)
 
 measure:
 	$(GO) test -run '^$$' -bench . -benchtime 1x ./...
