--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -177,6 +176,7 @@
 
 // noteFirstByte records that a server's response has begun.
 func (r *callerResponse) noteFirstByte() {
+	r.call.open.enter(phaseAnswer)
 	if r.call.record.timeToFirstByte == 0 {
 		r.call.record.timeToFirstByte = time.Since(r.call.Arrived)
 	}
@@ -365,7 +365,7 @@
 		klog.ErrorS(err, "failed to reset the connection of an HTTP/1.0 caller")
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is already closed
 	}
 	_ = conn.Close()
