log what tells a break of the definition's rules apart

A definition that is refused is logged with the version held, its size and a hash of its content; acknowledgements, proposals, accepted definitions, reads and entry instances' states name their content by the same hash, so that other content under one version shows. Reads are logged, those that no quorum confirmed with the version held here. An entry instance names the requests that it still serves 0.25 s after their deadline. No answer changes; the lines about reads and late requests are limited in rate.

--- a/internal/compressor/compressor.go
+++ b/internal/compressor/compressor.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"math/bits"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
@@ -45,6 +46,11 @@
 	return xxhash.Sum64(document)
 }
 
+// HashName returns the Hash of a document as log lines show it, in hexadecimal.
+func HashName(document []byte) string {
+	return strconv.FormatUint(Hash(document), 16)
+}
+
 // Compress compresses a document. With a base that is not empty, the result holds
 // little more than what differs from it.
 func Compress(document, base []byte) (Compressed, error) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,6 +23,7 @@
 	"github.com/boragehead/boragehead/internal/definer"
 	"github.com/boragehead/boragehead/internal/journaler"
 	"github.com/boragehead/boragehead/internal/loader"
+	"github.com/boragehead/boragehead/internal/logger"
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/quarantiner"
 	"github.com/boragehead/boragehead/internal/registrar"
@@ -74,6 +75,8 @@
 	// epoch identifies this start of the process, in nanoseconds of Unix time:
 	// the revisions of servers and peers begin anew with each start.
 	epoch int64
+	// readLogLimiter limits the log lines about reads of the definition.
+	readLogLimiter logger.RateLimiter
 
 	mu      sync.Mutex
 	servers registrar.Table
--- a/internal/controller/operations.go
+++ b/internal/controller/operations.go
@@ -46,17 +46,19 @@
 func (c *Controller) Define(ctx context.Context, document []byte) error {
 	startedAt := time.Now()
 	definition, err := c.decode(document)
+	current := c.machine.state()
 	if err != nil {
-		klog.InfoS("definition rejected", "version", definition.Version, "err", logger.ErrorText(err))
+		klog.InfoS("definition rejected", "version", definition.Version, "held", current.Version, "bytes", len(document),
+			"hash", compressor.HashName(document), "err", logger.ErrorText(err))
 		return err
 	}
-	current := c.machine.state().Version
-	if definition.Version <= current {
-		klog.InfoS("definition acknowledged without a change: current version is the same or higher", "version", definition.Version, "held", current)
+	if definition.Version <= current.Version {
+		klog.InfoS("definition acknowledged without a change: current version is the same or higher", "version", definition.Version,
+			"hash", compressor.HashName(document), "held", current.Version, "held-hash", compressor.HashName(current.Document))
 		return nil
 	}
 	outcome, err := c.submit(ctx, command{Define: &defineCommand{Version: definition.Version, Document: bytes.Clone(document)}})
-	klog.InfoS("definition proposed", "version", definition.Version, "held", outcome.Version, "took", time.Since(startedAt), "err", logger.ErrorText(err))
+	klog.InfoS("definition proposed", "version", definition.Version, "hash", compressor.HashName(document), "held", outcome.Version, "took", time.Since(startedAt), "err", logger.ErrorText(err))
 	return err
 }
 
@@ -64,11 +66,21 @@
 // confirms it, or ErrUnavailable is returned. The document is nil before the
 // first definition.
 func (c *Controller) Definition(ctx context.Context) ([]byte, error) {
-	if err := c.awaitReadIndex(ctx); err != nil {
-		klog.InfoS("no quorum confirmed the read", "err", logger.ErrorText(err))
+	startedAt := time.Now()
+	err := c.awaitReadIndex(ctx)
+	state := c.machine.state()
+	if leftOut, ok := c.readLogLimiter.Allow(time.Now()); ok {
+		message := "definition read"
+		if err != nil {
+			message = "no quorum confirmed the read"
+		}
+		klog.InfoS(message, "version", state.Version, "hash", compressor.HashName(state.Document), "took", time.Since(startedAt),
+			"err", logger.ErrorText(err), "left-out", leftOut)
+	}
+	if err != nil {
 		return nil, err
 	}
-	return c.machine.state().Document, nil
+	return state.Document, nil
 }
 
 // SetFailureDomainClosed closes a failure domain, so that its servers get no
--- a/internal/controller/statemachine.go
+++ b/internal/controller/statemachine.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
+	"github.com/boragehead/boragehead/internal/compressor"
 	"github.com/boragehead/boragehead/internal/definer"
 	"github.com/boragehead/boragehead/internal/replicator"
 )
@@ -83,7 +84,7 @@
 	case c.Define != nil && c.Define.Version > m.version:
 		m.version, m.document = c.Define.Version, c.Define.Document
 		m.index = index
-		klog.InfoS("definition accepted", "version", m.version, "index", index)
+		klog.InfoS("definition accepted", "version", m.version, "hash", compressor.HashName(m.document), "index", index)
 	case c.CloseDomain != nil && m.closedDomains[c.CloseDomain.FailureDomain] != c.CloseDomain.Closed:
 		m.setDomainClosed(*c.CloseDomain)
 		m.index = index
--- a/internal/follower/states.go
+++ b/internal/follower/states.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/apportioner"
+	"github.com/boragehead/boragehead/internal/compressor"
 	"github.com/boragehead/boragehead/internal/controller"
 	"github.com/boragehead/boragehead/internal/definer"
 )
@@ -92,7 +93,7 @@
 	f.noteClosedDomains(now, state)
 	f.mergeServerReports(now)
 	klog.InfoS("state in force", "index", f.stateIndex, "version", f.definitionVersion, "closed", f.closedDomains, "from", from,
-		"bytes", len(f.document), "decode", took, "known-for", knownFor)
+		"bytes", len(f.document), "hash", compressor.HashName(f.document), "decode", took, "known-for", knownFor)
 }
 
 func quotasByWorkspace(definition definer.Definition) map[string]apportioner.Quota {
--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -39,7 +39,7 @@
 	call.Service = service
 	call.Urgency = definer.EffectivePriority(route, call.Workspace)
 	call.HomeRegions, call.HomeRegionsOnly = definer.AllowedRegions(route, call.Workspace)
-	call.homesVersion = view.Version
+	call.homesVersion, call.maxBody = view.Version, view.Limits.MaxBody
 	timeout := route.Timeout
 	if call.Timeout > 0 {
 		timeout = min(timeout, call.Timeout)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -310,10 +310,10 @@
 	if refusal != nil {
 		return refusal
 	}
+	defer f.watchDeadline(call)()
 	if f.isOutdated(call) {
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: reasonDefinitionBehind, RetryAfter: behindRetryAfter}
 	}
-	call.maxBody = view.Limits.MaxBody
 	size, refusal := f.readBody(w, call, call.maxBody)
 	defer f.bodyMemory.release(size)
 	switch {
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -41,6 +41,22 @@
 	f.logCall(limiter, call, refusal, outcome, reason, route, workspace, took)
 }
 
+// lateAnswerGrace is how long after its deadline a call may end without a log line of
+// its own.
+const lateAnswerGrace = 250 * time.Millisecond
+
+// watchDeadline logs and counts the call if it has no final answer lateAnswerGrace after
+// its deadline. The watch ends when the function is called that it returns.
+func (f *Forwarder) watchDeadline(call *Call) (end func() bool) {
+	id, route, arrived := call.ID, call.Route.Name, call.Arrived
+	return time.AfterFunc(time.Until(call.Deadline)+lateAnswerGrace, func() {
+		f.metrics.Count("requests-past-deadline")
+		if leftOut, ok := f.unansweredLogLimiter.Allow(time.Now()); ok {
+			klog.InfoS("no final answer at the deadline", "id", id, "route", route, "age", time.Since(arrived), "left-out", leftOut)
+		}
+	}).Stop
+}
+
 // maxNoteBytes bounds a note in the log. Errors of net/http quote what a server sent.
 const maxNoteBytes = 256
 
