responder: a refusal does not wait for the rest of the request's body

Callers that stopped within their body got no 408 at the route's timeout, and every answer that needs no body (404, 401, 413, 503 definition-behind, a declined relay; in the own stack 404, 401, 403, 307) was withheld until they had sent all of it: net/http reads up to 256 KiB of the rest before it sends an answer, and the read deadline had been lifted by then.

An answer to a request whose body is unread now waits 50 ms for its end, so that ordinary refusals keep their connections. After that it is sent whole, with Connection: close, and what the caller still sends is read for a second before the connection is closed, so that no reset destroys the answer and no rest of a body is taken for a request. Relays that are declined unread are answered at once, and nothing of their body is read. A refused call is reported before it is written.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/exchanger"
+	"github.com/boragehead/boragehead/internal/responder"
 )
 
 // Limits on requests.
@@ -31,8 +32,8 @@
 // Observer is notified of every finished request, for metrics. It must be safe for
 // concurrent use.
 type Observer interface {
-	// Observe is called after the response has been written. The refusal is nil
-	// if the request was answered.
+	// Observe is called after the response has been written, or just before a refusal
+	// is. The refusal is nil if the request was answered.
 	Observe(x *exchanger.Exchange, refusal *exchanger.Refusal)
 }
 
@@ -60,11 +61,15 @@
 	ctx, cancel := context.WithCancel(x.Request.Context())
 	defer cancel()
 	refusal := a.runChain(ctx, x)
-	if refusal != nil {
-		refusal.Write(x.Writer, x.ID)
-	}
 	a.observer.Observe(x, refusal)
 	logRequest(x, refusal)
+	switch {
+	case refusal == nil:
+	case x.Body != nil:
+		refusal.Write(x.Writer, x.ID)
+	default:
+		responder.Answer(x.Writer, x.Request, func(w http.ResponseWriter) { refusal.Write(w, x.ID) })
+	}
 }
 
 // runChain refuses requests with too large a header and runs the chain for others.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -289,16 +289,6 @@
 	f.finish(w, &call, f.serve(w, &call))
 }
 
-// finish writes the refusal, if there is one, to the caller and reports the call
-// to the metrics and the log.
-func (f *Forwarder) finish(w http.ResponseWriter, call *Call, refusal *Refusal) {
-	if refusal != nil {
-		call.record.status = refusal.Status
-		f.dialect.WriteRefusal(w, call.ID, *refusal)
-	}
-	f.reportCall(call, refusal)
-}
-
 // serve runs the checks on a call, reads its body, charges the quota and makes
 // the attempts. It returns nil if the caller has got a server's response.
 func (f *Forwarder) serve(w http.ResponseWriter, call *Call) *Refusal {
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -1,14 +1,32 @@
 package forwarder
 
 import (
+	"net/http"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/logger"
 	"github.com/boragehead/boragehead/internal/quarantiner"
+	"github.com/boragehead/boragehead/internal/responder"
 )
 
+// finish reports the call to the metrics and the log and writes the refusal, if there
+// is one, to the caller.
+func (f *Forwarder) finish(w http.ResponseWriter, call *Call, refusal *Refusal) {
+	if refusal != nil {
+		call.record.status = refusal.Status
+	}
+	f.reportCall(call, refusal)
+	switch {
+	case refusal == nil:
+	case call.Body != nil:
+		f.dialect.WriteRefusal(w, call.ID, *refusal)
+	default:
+		responder.Answer(w, call.Request, func(w http.ResponseWriter) { f.dialect.WriteRefusal(w, call.ID, *refusal) })
+	}
+}
+
 // reportCall updates the metrics for a finished call and writes its log line: the
 // inputs to its placement, the version of the definition used, and the outcome.
 // The line contains no key and no body.
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/boragehead/boragehead/internal/definer"
 	"github.com/boragehead/boragehead/internal/placer"
+	"github.com/boragehead/boragehead/internal/responder"
 )
 
 // Headers between entry instances.
@@ -181,28 +182,41 @@
 	defer f.activeRequests.Add(-1)
 	call, err := decodeRelayedCall(r)
 	if err != nil {
-		w.Header().Set(headerOutcome, outcomeNotRun)
-		w.WriteHeader(http.StatusBadRequest)
+		responder.AnswerUnread(w, func(w http.ResponseWriter) {
+			w.Header().Set(headerOutcome, outcomeNotRun)
+			w.WriteHeader(http.StatusBadRequest)
+		})
 		return
 	}
 	refusal := f.forwardRelayed(w, call)
-	if refusal != nil {
-		call.record.status = refusal.Status
-		outcome := outcomeNotRun
-		if refusal.MayHaveRun {
-			outcome = outcomeUnknown
-		}
-		w.Header().Set(headerRan, strconv.Itoa(refusal.PossibleRuns))
-		w.Header().Set(headerOffered, strconv.Itoa(call.record.attempts))
-		w.Header().Set(headerRetryAfter, refusal.RetryAfter.String())
-		w.Header().Set(headerReason, refusal.Reason)
-		w.Header().Set(headerOutcome, outcome)
-		if refusal.HomesMoved {
-			w.Header().Set(headerHomesMoved, "1")
-		}
-		w.WriteHeader(refusal.Status)
+	if refusal == nil {
+		f.reportCall(call, nil)
+		return
 	}
+	call.record.status = refusal.Status
 	f.reportCall(call, refusal)
+	if call.Body != nil {
+		writeRelayRefusal(w, call, refusal)
+		return
+	}
+	responder.AnswerUnread(w, func(w http.ResponseWriter) { writeRelayRefusal(w, call, refusal) })
+}
+
+// writeRelayRefusal writes a refusal to the relaying instance.
+func writeRelayRefusal(w http.ResponseWriter, call *Call, refusal *Refusal) {
+	outcome := outcomeNotRun
+	if refusal.MayHaveRun {
+		outcome = outcomeUnknown
+	}
+	w.Header().Set(headerRan, strconv.Itoa(refusal.PossibleRuns))
+	w.Header().Set(headerOffered, strconv.Itoa(call.record.attempts))
+	w.Header().Set(headerRetryAfter, refusal.RetryAfter.String())
+	w.Header().Set(headerReason, refusal.Reason)
+	w.Header().Set(headerOutcome, outcome)
+	if refusal.HomesMoved {
+		w.Header().Set(headerHomesMoved, "1")
+	}
+	w.WriteHeader(refusal.Status)
 }
 
 // forwardRelayed reads the body of a relayed call and makes the attempts. A call
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -21,6 +21,7 @@
 	"github.com/boragehead/boragehead/internal/lender"
 	"github.com/boragehead/boragehead/internal/loader"
 	"github.com/boragehead/boragehead/internal/messenger"
+	"github.com/boragehead/boragehead/internal/responder"
 	"github.com/boragehead/boragehead/internal/watcher"
 )
 
@@ -186,7 +187,7 @@
 	w.Header().Set(exchanger.HeaderRequestID, id)
 	x, refusal := h.parse(w, r, id)
 	if refusal != nil {
-		refusal.Write(w, id)
+		responder.Answer(w, r, func(w http.ResponseWriter) { refusal.Write(w, id) })
 		return
 	}
 	h.serve(x)
