definer: refuse weights whose sum is no number

A definition with two weights of 2^62 was confirmed. Their sum is negative, so that no service is chosen, and every request on the route gets 503 no-service. The sum is checked before it is formed.

Class: a sum of numbers that an operator chooses. The quotas' rates and bursts are floats and are not added up; priorities, attempts and limits are only compared.

--- a/internal/definer/check.go
+++ b/internal/definer/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -65,6 +66,9 @@
 		if target.Weight < 0 {
 			return invalid("%s: weight of %q must be 0 or more", field, target.Service)
 		}
+		if target.Weight > math.MaxInt-totalWeight {
+			return invalid("%s: the weights add up to more than %d", field, math.MaxInt)
+		}
 		totalWeight += target.Weight
 	}
 	if totalWeight == 0 {
