--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -1,14 +1,32 @@
 package forwarder
 
 import (
+	"net/http"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/logger"
 	"github.com/boragehead/boragehead/internal/quarantiner"
+	"github.com/boragehead/boragehead/internal/responder"
 )
 
+// finish reports the call to the metrics and the log and writes the refusal, if there
+// is one, to the caller.
+func (f *Forwarder) finish(w http.ResponseWriter, call *Call, refusal *Refusal) {
+	if refusal != nil {
+		call.record.status = refusal.Status
+	}
+	f.reportCall(call, refusal)
+	switch {
+	case refusal == nil:
+	case call.Body != nil:
+		f.dialect.WriteRefusal(w, call.ID, *refusal)
+	default:
+		responder.Answer(w, call.Request, func(w http.ResponseWriter) { f.dialect.WriteRefusal(w, call.ID, *refusal) })
+	}
+}
+
 // reportCall updates the metrics for a finished call and writes its log line: the
 // inputs to its placement, the version of the definition used, and the outcome.
 // The line contains no key and no body.
@@ -41,6 +59,22 @@
 	f.logCall(limiter, call, refusal, outcome, reason, route, workspace, took)
 }
 
+// lateAnswerGrace is how long after its deadline a call may end without a log line of
+// its own.
+const lateAnswerGrace = 250 * time.Millisecond
+
+// watchDeadline logs and counts the call if it has no final answer lateAnswerGrace after
+// its deadline. The watch ends when the function is called that it returns.
+func (f *Forwarder) watchDeadline(call *Call) (end func() bool) {
+	id, route, arrived := call.ID, call.Route.Name, call.Arrived
+	return time.AfterFunc(time.Until(call.Deadline)+lateAnswerGrace, func() {
+		f.metrics.Count("requests-past-deadline")
+		if leftOut, ok := f.unansweredLogLimiter.Allow(time.Now()); ok {
+			klog.InfoS("no final answer at the deadline", "id", id, "route", route, "age", time.Since(arrived), "left-out", leftOut)
+		}
+	}).Stop
+}
+
 // maxNoteBytes bounds a note in the log. Errors of net/http quote what a server sent.
 const maxNoteBytes = 256
 
