throttler: a very large limit of one server stops no instance

Callers saw: once a server had named a limit of about 1e19 or more in one answer, the entry instances of its region no longer noticed servers that fall silent and used that server no more.

Cause: the number of holders was int(rate*2)+3. The conversion of a float that no int holds gives the largest or the smallest int, depending on the machine, and the sum is negative: "slice bounds out of range". The limit travels in beacons, so that each instance of the region fails on it.

Evidence: TestLargeLimitEndsInstances panicked on the code before for rates from 2^63 on ("slice bounds out of range [:-]").

The count is now bounded as a float before it is converted. Reports of other instances that are no rates (NaN, infinite, negative) are not taken over: NaN fails in the same way on x86-64.

--- a/internal/throttler/observation.go
+++ b/internal/throttler/observation.go
@@ -1,6 +1,7 @@
 package throttler
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -54,6 +55,11 @@
 	ArrivedAge time.Duration `cbor:"a"`
 }
 
+// IsRate reports whether a number can be a limit: finite and not below 0.
+func IsRate(number float64) bool {
+	return number >= 0 && !math.IsInf(number, 0)
+}
+
 // maxReports bounds the reports of one beacon, which has a size limit. Those that
 // changed last come first.
 const maxReports = 64
@@ -67,6 +73,9 @@
 func (t *Throttler) Record(now time.Time, reports []Report) bool {
 	changed := false
 	for _, report := range reports {
+		if report.Rate != nil && !IsRate(*report.Rate) {
+			continue
+		}
 		seen := Observation{SentAt: now.Add(-report.SentAge - reportDelay), ArrivedAt: now.Add(-report.ArrivedAge)}
 		if report.Rate != nil {
 			seen.Rate, seen.Limited = *report.Rate, true
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -153,12 +153,18 @@
 		known.share.rate = rate / float64(max(t.members.known, 1))
 		return
 	}
-	known.holders = t.members.first(int(rate*holdersPerRate)+minHolders, server)
+	known.holders = t.members.first(holderCount(rate, len(t.members.candidates)), server)
 	if slices.Contains(known.holders, t.Self) {
 		known.share.rate = rate / float64(len(known.holders))
 	}
 }
 
+// holderCount returns how many of some candidates hold a limit. The conversion of a number
+// that is too large for an int would differ between machines.
+func holderCount(rate float64, candidates int) int {
+	return min(int(min(rate*holdersPerRate, float64(candidates)))+minHolders, candidates)
+}
+
 // Forget drops the limits of servers that are no longer listed and have not been
 // observed for long, and those that ended some time ago.
 func (t *Throttler) Forget(now time.Time, listed func(Server) bool) {
