follower: a panic in the refresh ends the process instead of stopping it in silence

Callers saw: an entry instance that still answered, but no longer noticed servers that fall silent or come back, control instances that join, or its own readiness. Nothing was logged, and nothing ended.

Cause: Run waits for its fetcher in a deferred call, also while it panics, and the fetcher ends only with the context of the process. The panic never gets further.

The fetcher's context now ends first. The panic is written and the process ends, so that whoever keeps it running starts it anew. The other deferred wait, in messenger.Server.Run, closes its connections first.

--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -37,9 +37,11 @@
 func (f *Follower) Run(ctx context.Context) error {
 	ticker := time.NewTicker(refreshInterval)
 	defer ticker.Stop()
+	ctx, cancel := context.WithCancel(ctx)
 	var fetcher sync.WaitGroup
 	fetcher.Go(func() { f.runFetcher(ctx) })
 	defer fetcher.Wait()
+	defer cancel() // a panic must not wait for the fetcher
 	for {
 		f.refresh(ctx)
 		select {
