platform, registrar: a heartbeat that cannot be a server's is refused

Operators saw: one odd heartbeat among those of the backend servers was confirmed with 200 and went into the table that all control instances exchange and all entry instances read. Depending on what was odd, the readers stopped following (a name whose bytes are not UTF-8), or a server got no requests for 2 minutes or more (the address or the name of a server with a start in the future; its name with the largest counter).

Cause: only the types of the fields were checked. JSON repairs texts that are not UTF-8, a path value does not, and the codec between the processes refuses a whole message for one such text. Numbers were taken as they were; the conversion of a float that no duration holds differs between machines.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,6 +23,7 @@
 	"github.com/boragehead/boragehead/internal/definer"
 	"github.com/boragehead/boragehead/internal/journaler"
 	"github.com/boragehead/boragehead/internal/loader"
+	"github.com/boragehead/boragehead/internal/logger"
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/quarantiner"
 	"github.com/boragehead/boragehead/internal/registrar"
@@ -94,6 +95,20 @@
 	// changed is closed and replaced whenever a waiting watch must check for
 	// changes.
 	changed chan struct{}
+
+	metrics       Metrics
+	refusedLogged logger.RateLimiter
+}
+
+// Metrics counts events by name. It must be safe for concurrent use.
+type Metrics interface {
+	Count(name string)
+}
+
+// UseMetrics makes the control instance count events. It must be called before its tasks
+// are started.
+func (c *Controller) UseMetrics(metrics Metrics) {
+	c.metrics = metrics
 }
 
 // New returns a control instance with the state read from its disk. Errors name
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -36,6 +36,9 @@
 	// Leave records that a backend server has ended. startedAtMillis identifies
 	// the start of the server; 0 stands for the latest known one.
 	Leave(ctx context.Context, name string, startedAtMillis int64) error
+	// RefuseServer records that an announcement or a departure under a name was refused,
+	// and why. Both texts are short.
+	RefuseServer(name string, cause error)
 	// Resolve returns the addresses of the entry instances that a caller in a
 	// failure domain and region should connect to.
 	Resolve(failureDomain, region string) []netip.AddrPort
@@ -66,6 +69,8 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	counters := measurer.New()
+	c.UseMetrics(counters)
 	port, err := beaconer.Listen(settings.PeerAddress)
 	if err != nil {
 		return trace.Wrap(err, "peer-address")
@@ -83,7 +88,7 @@
 	if peers := opener.listen("peer-address", settings.PeerAddress); opener.err == nil {
 		actors.Add("peers", messenger.NewPlainServer(peers, mux).Run)
 	}
-	opener.serve(actors, "metrics", settings.MetricsAddress(), measurer.New())
+	opener.serve(actors, "metrics", settings.MetricsAddress(), counters)
 	operators := opener.serve(actors, "operator-address", settings.OperatorAddress, dialect.OperatorHandler(c))
 	directory := opener.serve(actors, "directory-address", settings.DirectoryAddress, dialect.DirectoryHandler(c))
 	if opener.err != nil {
