registrar, controller, follower: an odd entry among those of the servers hides no other

Callers saw: after one odd entry, entry instances followed neither changes nor servers any more ("no-server", "definition-behind"), until it left the table after two minutes; if it came again, for as long as it did.

Cause: a list of servers was decoded as a whole. One entry that the codec refuses made the message of a control instance unreadable, with the definition in it, for entry instances and for the other control instances. What could be decoded was taken over unseen: a state that is not known panics where its name is asked for.

Readers decode entry by entry and leave out what cannot be a server, with a line, so that an entry that came in by a process of an earlier release stops nobody.

--- a/internal/controller/servers.go
+++ b/internal/controller/servers.go
@@ -36,14 +36,14 @@
 
 // forwardQuery carries announcements to another control instance.
 type forwardQuery struct {
-	Servers []registrar.Server `cbor:"s"`
+	Servers registrar.List `cbor:"s"`
 }
 
 type forwardAnswer struct{}
 
 // exchangedTables is what each side of an exchange sends to the other.
 type exchangedTables struct {
-	Servers []registrar.Server `cbor:"s"`
+	Servers registrar.List `cbor:"s"`
 	// Controls are peer addresses, the sender's first.
 	Controls   []string           `cbor:"c"`
 	Quarantine []quarantiner.Part `cbor:"q,omitempty"`
@@ -225,12 +225,14 @@
 }
 
 // mergeServers adds the announcements that another control instance has received.
-func (c *Controller) mergeServers(servers []registrar.Server) {
+// Invalid ones, as a process of another release may send them, are left out.
+func (c *Controller) mergeServers(servers registrar.List) {
 	now := time.Now()
+	valid := servers.Valid(now, c.RefuseServer)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before := c.servers.Revision()
-	for _, server := range servers {
+	for _, server := range valid {
 		_ = c.servers.Announce(now, server) // stale announcements are ignored
 	}
 	if c.servers.Revision() != before {
--- a/internal/controller/watch.go
+++ b/internal/controller/watch.go
@@ -76,7 +76,7 @@
 	// out if the entry instance has that version, or asked for that.
 	State *State `cbor:"t,omitempty"`
 	// Servers are the changed servers of the entry instance's region.
-	Servers []registrar.Server `cbor:"s,omitempty"`
+	Servers registrar.List `cbor:"s,omitempty"`
 	// ServersRevision is the revision up to which changed servers are included.
 	ServersRevision uint64 `cbor:"u"`
 	// Instances and Controls are complete lists of the entry instances and of the
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -23,6 +23,7 @@
 	"github.com/boragehead/boragehead/internal/controller"
 	"github.com/boragehead/boragehead/internal/definer"
 	"github.com/boragehead/boragehead/internal/loader"
+	"github.com/boragehead/boragehead/internal/logger"
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/placer"
 	"github.com/boragehead/boragehead/internal/registrar"
@@ -94,6 +95,7 @@
 	// last logged.
 	loggedConditions map[string]string
 	loggedLimits     loggedLimits
+	skippedLogged    logger.RateLimiter
 	// loggedRemoteServices holds the number of servers of each service in
 	// another region, by region and service, when they were last logged.
 	loggedRemoteServices map[[2]string]int
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -215,6 +215,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	answer.Servers = answer.Servers.Valid(now, f.skipServer)
 	watch.lastAnswer, watch.region, watch.index = now, answer.Region, answer.Index
 	f.confirmNewest(sent.Add(answer.Held - answer.StateAge))
 	if len(f.newer) > 0 && answer.Index > f.stateIndex {
@@ -261,6 +262,13 @@
 	}
 }
 
+// skipServer logs that a control instance has reported what cannot be a server.
+func (f *Follower) skipServer(name string, cause error) {
+	if leftOut, ok := f.skippedLogged.Allow(time.Now()); ok {
+		klog.InfoS("invalid server skipped", "server", name, "err", logger.ErrorText(cause), "left-out", leftOut)
+	}
+}
+
 // applyMembers adds the control instances that an answer lists, and takes over the
 // list of entry instances of the control instance that answered. f.mu must be held.
 func (f *Follower) applyMembers(now time.Time, watch *controlWatch, answer controller.WatchAnswer) {
--- /dev/null
+++ b/internal/registrar/list.go
@@ -0,0 +1,43 @@
+package registrar
+
+import (
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// List is a list of servers in the form in which processes exchange it. An entry that
+// cannot be decoded becomes a zero Server, and the others hold.
+type List []Server
+
+// UnmarshalCBOR implements cbor.Unmarshaler.
+func (l *List) UnmarshalCBOR(data []byte) error {
+	var entries []cbor.RawMessage
+	if err := cbor.Unmarshal(data, &entries); err != nil {
+		return err
+	}
+	*l = make(List, 0, len(entries))
+	for _, entry := range entries {
+		var server Server
+		if cbor.Unmarshal(entry, &server) != nil {
+			server = Server{}
+		}
+		*l = append(*l, server)
+	}
+	return nil
+}
+
+// Valid returns the entries that pass Server.Check. It calls skipped for each other one, with
+// the beginning of its name and the error.
+func (l List) Valid(now time.Time, skipped func(name string, err error)) List {
+	valid := make(List, 0, len(l))
+	for _, server := range l {
+		if err := server.Check(now); err != nil {
+			skipped(strings.ToValidUTF8(server.Name[:min(len(server.Name), MaxTextBytes)], "?"), err)
+			continue
+		}
+		valid = append(valid, server)
+	}
+	return valid
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -29,9 +29,11 @@
 	StateGone
 )
 
-// String returns the name of the state. It panics if the value is none of the
-// constants.
+// String returns the name of the state.
 func (s State) String() string {
+	if s > StateGone {
+		return "unknown"
+	}
 	return [...]string{"ready", "leaving", "gone"}[s]
 }
 
