follower, registrar: an odd entry at a server's address, or with its name, hides it for seconds, not for good

Callers saw: a server that ran and announced itself got no requests any more after one entry had claimed its address with a later start, even for a service that no definition names; or after one entry with its name and a later start.

Cause: a control instance marked all earlier starts at an address as gone, which no announcement of the same start takes back. And entry instances kept the report of the odd entry when the control instances had dropped it after their retention, which they do not tell: the server's own reports counted as older for as long as the process ran.

The table of a control instance now ends nobody for an address. Entry instances, which already chose among servers at one address, let a later start hide one that is still heard only if its service is defined, while it is heard itself, and for 9.6 s at most: a server that has ended is silent by then. Reports that the control instances must have dropped do not count against a server that is heard.

Under a server's name, an entry with a later start still hides it until it has been silent for two minutes: TestOddEntryUnderServersNameLeavesTable.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -96,6 +96,7 @@
 	loggedConditions map[string]string
 	loggedLimits     loggedLimits
 	skippedLogged    logger.RateLimiter
+	claims           addressClaims
 	// loggedRemoteServices holds the number of servers of each service in
 	// another region, by region and service, when they were last logged.
 	loggedRemoteServices map[[2]string]int
@@ -238,47 +239,6 @@
 // deciding whether a server is silent.
 const controlContactTimeout = 6 * time.Second
 
-// mergeServerReports merges the control instances' reports and passes the
-// servers to the placer. The newest report of each server counts. A server is
-// silent if a control instance is in contact and none of those in contact hears
-// the server. Of several servers at one address only the one that started last
-// is kept. f.mu must be held.
-func (f *Follower) mergeServerReports(now time.Time) {
-	view := f.view.Load()
-	if view == nil {
-		return
-	}
-	f.merged = f.mergeInputs(now)
-	newestByName := map[string]registrar.Server{}
-	heardByName := map[string]bool{}
-	for _, watch := range f.controlWatches {
-		inContact := now.Sub(watch.lastAnswer) < controlContactTimeout
-		for name, report := range watch.reportsByServer {
-			reported := report.asOf(now)
-			if best, known := newestByName[name]; !known || reported.Newer(best) {
-				newestByName[name] = reported
-			}
-			heardByName[name] = heardByName[name] || inContact && !reported.Silent
-		}
-	}
-	anyInContact := f.hasControlContact(now)
-	newestByAddress := map[netip.AddrPort]registrar.Server{}
-	for name, reported := range newestByName {
-		reported.Silent = anyInContact && !heardByName[name]
-		newestByName[name] = reported
-		if current, occupied := newestByAddress[reported.Address]; reported.State != registrar.StateGone && (!occupied || reported.StartedAtMillis > current.StartedAtMillis) {
-			newestByAddress[reported.Address] = reported
-		}
-	}
-	var servers []registrar.Server
-	for _, reported := range newestByName {
-		if reported.State != registrar.StateGone && newestByAddress[reported.Address].Name == reported.Name {
-			servers = append(servers, reported)
-		}
-	}
-	f.placer.SetServers(now, view, servers)
-}
-
 func (f *Follower) hasControlContact(now time.Time) bool {
 	for _, watch := range f.controlWatches {
 		if now.Sub(watch.lastAnswer) < controlContactTimeout {
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -87,11 +87,12 @@
 	watches, regionInstances int
 	// inContact is the sum of the hashes of the control instances in contact.
 	inContact uint64
+	claimsDue bool
 }
 
 // mergeInputs returns what a merge would depend on now. f.mu must be held.
 func (f *Follower) mergeInputs(now time.Time) mergeInputs {
-	inputs := mergeInputs{watches: len(f.controlWatches), regionInstances: f.placer.RegionInstances}
+	inputs := mergeInputs{watches: len(f.controlWatches), regionInstances: f.placer.RegionInstances, claimsDue: f.claims.isDue(now)}
 	for address, watch := range f.controlWatches {
 		if now.Sub(watch.lastAnswer) < controlContactTimeout {
 			inputs.inContact += xxhash.Sum64String(address)
@@ -253,7 +254,7 @@
 		watch.peersRevision = answer.PeersRevision
 	}
 	for _, reported := range answer.Servers {
-		if known, exists := watch.reportsByServer[reported.Name]; !exists || !known.Newer(reported) {
+		if known, exists := watch.reportsByServer[reported.Name]; !exists || !known.Newer(reported) || isDropped(known.asOf(now)) {
 			watch.reportsByServer[reported.Name] = serverReport{Server: reported, receivedAt: now}
 		}
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -5,6 +5,9 @@
 // their arrival, so that tables that receive them in different orders converge. A
 // departed server leaves a tombstone, which only a later start under the same name
 // replaces.
+//
+// A table holds several servers at one address if they say so. Those who use the servers
+// decide between them: an entry that only claims an address must not end another.
 package registrar
 
 import (
@@ -13,8 +16,7 @@
 	"time"
 )
 
-// State is the state of a backend server as it announced it, or StateGone if
-// another server has replaced it.
+// State is the state of a backend server as it announced it.
 type State uint8
 
 // The states, in the order in which a server goes through them.
@@ -24,8 +26,7 @@
 	// StateLeaving means that the server finishes its running requests and
 	// accepts no new ones.
 	StateLeaving
-	// StateGone means that the server has departed, or that a server that started
-	// later uses its address.
+	// StateGone means that the server has departed.
 	StateGone
 )
 
@@ -37,8 +38,7 @@
 	return [...]string{"ready", "leaving", "gone"}[s]
 }
 
-// ErrStale means that a newer announcement of the server is known, or that a server
-// that started later uses its address.
+// ErrStale means that a newer announcement of the server is known.
 var ErrStale = errors.New("older than what is known of this server")
 
 // Server is a backend server as described by its newest announcement.
@@ -87,9 +87,9 @@
 	// counts as silent: four of the usual periods of 1.2 s, since a heartbeat may
 	// be late.
 	SilenceTimeout = 4800 * time.Millisecond
-	// retention is how long departed and silent servers stay in the table, so that
+	// Retention is how long departed and silent servers stay in the table, so that
 	// late announcements of them are recognized as stale.
-	retention = 2 * time.Minute
+	Retention = 2 * time.Minute
 )
 
 // entry is a server in a table, with the time of its newest announcement and the
@@ -118,9 +118,6 @@
 	if exists && !announcement.Newer(known.Server) {
 		return ErrStale
 	}
-	if t.addressTakenOver(announcement) {
-		return ErrStale
-	}
 	announcement.Age, announcement.Silent = 0, false
 	if !exists {
 		known = &entry{}
@@ -131,7 +128,6 @@
 	if changed {
 		t.markChanged(known)
 	}
-	t.endEarlierAtAddress(announcement)
 	return nil
 }
 
@@ -150,31 +146,6 @@
 	e.revision = t.revision
 }
 
-// addressTakenOver reports whether a server that started later uses the announced
-// address. If so, the announcement comes from a process that has ended.
-func (t *Table) addressTakenOver(announcement Server) bool {
-	for _, other := range t.entries {
-		if other.Name != announcement.Name && other.Address == announcement.Address && other.StartedAtMillis > announcement.StartedAtMillis && other.State != StateGone {
-			return true
-		}
-	}
-	return false
-}
-
-// endEarlierAtAddress marks servers that started earlier at the announced address
-// as gone.
-func (t *Table) endEarlierAtAddress(announcement Server) {
-	if announcement.State == StateGone {
-		return
-	}
-	for _, other := range t.entries {
-		if other.Name != announcement.Name && other.Address == announcement.Address && other.StartedAtMillis < announcement.StartedAtMillis && other.State != StateGone {
-			other.State = StateGone
-			t.markChanged(other)
-		}
-	}
-}
-
 // RecordDeparture records that a server has departed. startedAtMillis identifies
 // the start that has ended, as Server.StartedAtMillis does; 0 stands for the
 // latest known one. The departure of an earlier start than the known one is
@@ -209,7 +180,7 @@
 			e.Silent = silent
 			t.markChanged(e)
 		}
-		if silence > retention {
+		if silence > Retention {
 			delete(t.entries, name)
 		}
 	}
