router: an odd number of free slots of a peer no longer stops an instance

Callers saw: an instance that served nothing any more, after a backend server of another failure domain had announced max-running.

Cause: the weights of peers, free slots plus 1, are added up; the sum was negative, and the draw panicked. net/http ends that request, but the router's lock stayed held, so that each later request waited until its caller left.

Evidence: TestOddFreeSlotsOfPeerEndRequests failed before ("panic: invalid argument to IntN").

A weight is now between 1 and 2^20 + 1, and the lock is released by a deferred call.

--- a/internal/router/decide.go
+++ b/internal/router/decide.go
@@ -174,16 +174,24 @@
 	return candidate, found
 }
 
-// drawByFreeSlots picks one candidate at random, weighted by free slots plus 1,
-// so that candidates without a free slot are picked too.
+// maxWeight bounds the weight of a candidate, so that the sum of all fits into an int.
+const maxWeight = 1 << 20
+
+// weight is the number of free slots plus 1, so that candidates without a free slot are
+// picked too.
+func (c relayCandidate) weight() int {
+	return 1 + min(max(c.freeSlots, 0), maxWeight)
+}
+
+// drawByFreeSlots picks one candidate at random, weighted by free slots.
 func (d *Decider) drawByFreeSlots(candidates []relayCandidate) relayCandidate {
 	total := 0
 	for _, c := range candidates {
-		total += c.freeSlots + 1
+		total += c.weight()
 	}
 	remaining := d.random.IntN(total)
 	for _, c := range candidates {
-		remaining -= c.freeSlots + 1
+		remaining -= c.weight()
 		if remaining < 0 {
 			return c
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -304,13 +304,17 @@
 		return
 	}
 	load := LoadView{Region: r.region, Local: r.fleet.PoolSummaries(), Peers: r.fleet.LivePeers()}
-	r.mu.Lock()
-	placement := r.decider.Decide(time.Now(), load, pools)
-	r.mu.Unlock()
+	placement := r.decide(load, pools)
 	x.Local = placement.Local
 	x.Relay = placement.Peer.Name
 }
 
+func (r *Router) decide(load LoadView, pools []tabler.Pool) Placement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.decider.Decide(time.Now(), load, pools)
+}
+
 // poolNames returns a new slice.
 func poolNames(pools []tabler.Pool) []string {
 	var names []string
