--- a/internal/registrar/check.go
+++ b/internal/registrar/check.go
@@ -37,7 +37,7 @@
 	if s.Service == "" || s.FailureDomain == "" {
 		return invalid("service and failure domain must be set")
 	}
-	if err := checkAddress(s.Address); err != nil {
+	if err := CheckAddress(s.Address); err != nil {
 		return err
 	}
 	switch {
@@ -105,8 +105,9 @@
 	return nil
 }
 
-// checkAddress checks that connections can be opened to an address.
-func checkAddress(address netip.AddrPort) error {
+// CheckAddress returns an error that wraps ErrInvalid if connections cannot be opened to an
+// address.
+func CheckAddress(address netip.AddrPort) error {
 	addr := address.Addr()
 	switch {
 	case !addr.IsValid() || address.Port() == 0:
