tracker: one odd announcement under a server's name hides it for seconds, not for ten minutes

Callers saw: fewer servers than there were. Cause: an announcement with the largest counter, or with a later incarnation, made the server's own ones stale until the entry was removed after ten minutes without news.

A ready server whose announcements were ignored until it counts as silent is now taken as it announces itself. A server that has left stays so.

--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -125,7 +125,8 @@
 }
 
 // Record stores an announcement. It returns false, and ignores the announcement,
-// if it is not newer than the one stored.
+// if it is not newer than the one stored. A ready server whose announcements have been ignored
+// until it is silent counts as announced anew: the stored one was not its own.
 func (t *Table) Record(now time.Time, announcement Announcement) bool {
 	if t.serversByName == nil {
 		t.serversByName = map[string]*Server{}
@@ -138,7 +139,8 @@
 		t.rebuildPools()
 		return true
 	}
-	if !isNewer(announcement, server.Announcement) {
+	forgotten := server.State == StateReady && now.Sub(server.LastHeard) > SilenceTimeout
+	if !isNewer(announcement, server.Announcement) && !forgotten {
 		return false
 	}
 	if announcement.Incarnation != server.Incarnation {
