keeper: withdrawing a key whose id is no text stops no instance for good

Operators saw, after DELETE of a key %ff at a keeper without a quorum: the instances that watch it followed nothing any more, after each of its starts.

Cause: without a quorum a keeper takes the withdrawal of a key that it does not know.

Evidence: TestOddKeyWithdrawalStopsReaders failed before ("error is nil"): the id was stored.

Such an id, an empty one, and one of more than 256 bytes is that of no key: the withdrawal is refused as of an unknown one.

--- a/internal/keeper/revoke.go
+++ b/internal/keeper/revoke.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
@@ -48,13 +49,33 @@
 	}
 	r := &revocationStore{journal: journal}
 	for _, batch := range contents.Batches {
-		r.keyIDs = append(r.keyIDs, string(batch))
+		id := string(batch)
+		if err := checkKeyID(id); err != nil {
+			klog.ErrorS(err, "withdrawal left out")
+			continue
+		}
+		r.keyIDs = append(r.keyIDs, id)
 	}
 	return r, nil
 }
 
+// maxKeyIDBytes bounds the id of a key that is withdrawn.
+const maxKeyIDBytes = 256
+
+// checkKeyID returns an error that wraps tabler.ErrUnknown if no key has an id. Ids go into
+// the answers to all watches, and the codec refuses an answer with a text that is not UTF-8.
+func checkKeyID(id string) error {
+	if id == "" || len(id) > maxKeyIDBytes || !utf8.ValidString(id) {
+		return trace.Wrap(tabler.ErrUnknown, "key %.40q", id)
+	}
+	return nil
+}
+
 // add syncs a key's withdrawal to the disk. It reports whether it was new.
 func (r *revocationStore) add(id string) (bool, error) {
+	if err := checkKeyID(id); err != nil {
+		return false, err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if slices.Contains(r.keyIDs, id) {
@@ -193,6 +214,9 @@
 // tabler.ErrUnknown when a quorum confirms that there is no such key.
 func (k *Keeper) WithdrawKey(ctx context.Context, changeID, id string) (WithdrawOutcome, error) {
 	var outcome WithdrawOutcome
+	if err := checkKeyID(id); err != nil {
+		return outcome, err
+	}
 	key, known := k.lookUpKey(id)
 	if !known {
 		// Without a quorum this keeper may lag behind the key's creation, and instances
