decoder: a keeper starts again with more than 131072 claims

Cause: the codec decodes lists and maps of at most 131072 elements by default, and encodes longer ones.

Evidence: TestFullGroupIsRestored failed before ("cbor: exceeded max number of elements 131072 for CBOR array").

What is stored and replicated is now decoded by package decoder, with a limit of 2^24 elements. Deep nesting and lengths that are not there end in an error as before: TestHostileInputEndsInError. Other state of that size: none found; tables and the quarantine have lower bounds.

--- a/internal/claimer/claims.go
+++ b/internal/claimer/claims.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
+	"github.com/boragehead/boragehead/internal/decoder"
 	"github.com/boragehead/boragehead/internal/tabler"
 )
 
@@ -248,7 +249,7 @@
 // unchanged.
 func (c *Claims) Restore(data []byte) error {
 	var s snapshot
-	if err := cbor.Unmarshal(data, &s); err != nil {
+	if err := decoder.Stored(data, &s); err != nil {
 		return trace.Wrap(err)
 	}
 	*c = Claims{Records: map[Key]*record{}, KeysOldestFirst: s.Keys, Clock: s.Clock}
--- a/internal/controller/quarantinefile.go
+++ b/internal/controller/quarantinefile.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/conductor"
+	"github.com/boragehead/boragehead/internal/decoder"
 	"github.com/boragehead/boragehead/internal/journaler"
 	"github.com/boragehead/boragehead/internal/quarantiner"
 )
@@ -38,7 +39,7 @@
 	}
 	var saved savedQuarantine
 	if err == nil {
-		err = cbor.Unmarshal(data, &saved)
+		err = decoder.Stored(data, &saved)
 	}
 	if err != nil {
 		klog.ErrorS(err, "cannot read the saved quarantine", "file", quarantineFile, "bytes", len(data))
--- a/internal/controller/statemachine.go
+++ b/internal/controller/statemachine.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
+	"github.com/boragehead/boragehead/internal/decoder"
 	"github.com/boragehead/boragehead/internal/definer"
 	"github.com/boragehead/boragehead/internal/replicator"
 )
@@ -75,7 +76,7 @@
 	var c command
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err := cbor.Unmarshal(data, &c); err != nil {
+	if err := decoder.Stored(data, &c); err != nil {
 		klog.ErrorS(err, "cannot decode log entry", "index", index)
 		return commandResult{Index: m.index, Version: m.version}
 	}
@@ -124,7 +125,7 @@
 func (m *stateMachine) Restore(data []byte) error {
 	var state State
 	if len(data) > 0 {
-		if err := cbor.Unmarshal(data, &state); err != nil {
+		if err := decoder.Stored(data, &state); err != nil {
 			return trace.Wrap(err)
 		}
 	}
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -15,6 +15,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+
+	"github.com/boragehead/boragehead/internal/decoder"
 )
 
 // ErrCorrupt means that synced data has changed. All contents of the disk must be
@@ -176,7 +178,7 @@
 		return nil, trace.Wrap(err)
 	}
 	var stored envelope
-	if err := cbor.Unmarshal(encoded, &stored); err != nil {
+	if err := decoder.Stored(encoded, &stored); err != nil {
 		return nil, trace.Wrap(ErrCorrupt, "%s: %v", j.snapshotName(), err)
 	}
 	if stored.Checksum != checksum(stored.Data) {
--- a/internal/keeper/statemachine.go
+++ b/internal/keeper/statemachine.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/claimer"
+	"github.com/boragehead/boragehead/internal/decoder"
 	"github.com/boragehead/boragehead/internal/granter"
 	"github.com/boragehead/boragehead/internal/orderer"
 	"github.com/boragehead/boragehead/internal/replicator"
@@ -44,7 +45,7 @@
 // an order and a tabler.Result for everything else.
 func (m *controlStateMachine) Apply(index replicator.Index, data []byte) any {
 	var c command
-	if err := cbor.Unmarshal(data, &c); err != nil {
+	if err := decoder.Stored(data, &c); err != nil {
 		klog.ErrorS(err, "cannot decode log entry of the control group", "index", index)
 		return tabler.Result{Refusal: tabler.RefusalInvalid, Detail: "entry not understood"}
 	}
@@ -94,7 +95,7 @@
 func (m *controlStateMachine) Restore(data []byte) error {
 	var snapshot controlSnapshot
 	if len(data) > 0 {
-		if err := cbor.Unmarshal(data, &snapshot); err != nil {
+		if err := decoder.Stored(data, &snapshot); err != nil {
 			return trace.Wrap(err)
 		}
 	}
@@ -123,7 +124,7 @@
 // Apply implements [replicator.StateMachine]. The outcome is a claimer.Outcome.
 func (m *claimStateMachine) Apply(index replicator.Index, data []byte) any {
 	var c claimer.Command
-	if err := cbor.Unmarshal(data, &c); err != nil {
+	if err := decoder.Stored(data, &c); err != nil {
 		klog.ErrorS(err, "cannot decode log entry of the claim group", "index", index)
 		return claimer.Outcome{Phase: claimer.PhaseUnknown}
 	}
--- a/internal/replicator/client.go
+++ b/internal/replicator/client.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+
+	"github.com/boragehead/boragehead/internal/decoder"
 )
 
 // Propose appends data to the log and returns the state machine's outcome once
@@ -55,7 +56,7 @@
 // it returns carrier.ErrFull if the group is too far behind.
 func (g *Group) Deliver(frame []byte) error {
 	var message Message
-	if err := cbor.Unmarshal(frame, &message); err != nil {
+	if err := decoder.Stored(frame, &message); err != nil {
 		return trace.BadParameter("message: %v", err)
 	}
 	return g.inbox.TryPut(Received{Message: message})
--- a/internal/replicator/store.go
+++ b/internal/replicator/store.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
+	"github.com/boragehead/boragehead/internal/decoder"
 	"github.com/boragehead/boragehead/internal/journaler"
 )
 
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if err := cbor.Unmarshal(data, identity); err != nil {
+	if err := decoder.Stored(data, identity); err != nil {
 		return nil, trace.Wrap(journaler.ErrCorrupt, "%s: %v", identityFile, err)
 	}
 	return identity, nil
@@ -120,14 +121,14 @@
 func replay(contents journaler.Contents) (PersistedState, error) {
 	var stored PersistedState
 	if contents.Snapshot != nil {
-		if err := cbor.Unmarshal(contents.Snapshot, &stored.Snapshot); err != nil {
+		if err := decoder.Stored(contents.Snapshot, &stored.Snapshot); err != nil {
 			return stored, trace.Wrap(journaler.ErrCorrupt, "snapshot: %v", err)
 		}
 	}
 	entries := log{snapshot: stored.Snapshot}
 	for _, batch := range contents.Batches {
 		var records []Persist
-		if err := cbor.Unmarshal(batch, &records); err != nil {
+		if err := decoder.Stored(batch, &records); err != nil {
 			return stored, trace.Wrap(journaler.ErrCorrupt, "batch: %v", err)
 		}
 		for _, record := range records {
--- a/internal/tabler/command.go
+++ b/internal/tabler/command.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/boragehead/boragehead/internal/decoder"
 	"github.com/boragehead/boragehead/internal/locator"
 
 	"github.com/fxamacker/cbor/v2"
@@ -67,7 +68,7 @@
 // DecodeCommand decodes a command that Encode returned.
 func DecodeCommand(data []byte) (Command, error) {
 	var command Command
-	err := cbor.Unmarshal(data, &command)
+	err := decoder.Stored(data, &command)
 	return command, trace.Wrap(err)
 }
 
--- a/internal/tabler/state.go
+++ b/internal/tabler/state.go
@@ -8,6 +8,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+
+	"github.com/boragehead/boragehead/internal/decoder"
 )
 
 // Errors of refused commands, as Result.Err returns them. A refusal is recorded
@@ -132,7 +134,7 @@
 // Restore replaces the state by a snapshot. On an error it changes nothing.
 func (s *State) Restore(data []byte) error {
 	var restored State
-	if err := cbor.Unmarshal(data, &restored); err != nil {
+	if err := decoder.Stored(data, &restored); err != nil {
 		return trace.Wrap(err)
 	}
 	*s = restored
