decoder, messenger, beaconer, forwarder: one odd text makes no message unreadable

Callers saw: a call whose id has bytes that are not UTF-8 was refused wherever it was relayed to. The class: any text of a caller, a server or an operator that reaches a message made the whole message unreadable, with all that was beside it.

Cause: the codec encodes such texts and refuses to decode them.

Messages between processes are decoded with their texts as they are; readers check what they use. Replicated and stored state stays strict, since all releases must apply the same entries of a log.

--- a/internal/beaconer/beaconer.go
+++ b/internal/beaconer/beaconer.go
@@ -18,6 +18,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/boragehead/boragehead/internal/conductor"
+	"github.com/boragehead/boragehead/internal/decoder"
 	"github.com/boragehead/boragehead/internal/placer"
 	"github.com/boragehead/boragehead/internal/throttler"
 )
@@ -169,7 +170,7 @@
 			continue
 		}
 		var beacon Beacon
-		if cbor.Unmarshal(buffer[:size], &beacon) == nil && p.recordIfNewer(beacon) {
+		if decoder.Message(buffer[:size], &beacon) == nil && p.recordIfNewer(beacon) {
 			handle(time.Now(), beacon)
 		}
 	}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/boragehead/boragehead/internal/decoder"
 	"github.com/boragehead/boragehead/internal/definer"
 	"github.com/boragehead/boragehead/internal/placer"
 )
@@ -247,7 +248,7 @@
 		return nil, err
 	}
 	var decoded relayedCall
-	if err := cbor.Unmarshal(data, &decoded); err != nil {
+	if err := decoder.Message(data, &decoded); err != nil {
 		return nil, err
 	}
 	r.Header.Del(headerRelay)
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -10,6 +10,7 @@
 
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/claimer"
+	"github.com/boragehead/boragehead/internal/decoder"
 	"github.com/boragehead/boragehead/internal/granter"
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/replicator"
@@ -194,7 +195,7 @@
 	if err != nil {
 		return result, trace.Wrap(err)
 	}
-	return result, trace.Wrap(cbor.Unmarshal(answer.Outcome, &result))
+	return result, trace.Wrap(decoder.Message(answer.Outcome, &result))
 }
 
 // serveClaim commits a command of the region's claim group. Outcomes and releases
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/decoder"
 )
 
 // ErrUnreachable means that the other process could not be reached, that the
@@ -112,13 +113,13 @@
 		return answer, err
 	}
 	var decoded answerFrame
-	if err := cbor.Unmarshal(reply, &decoded); err != nil {
+	if err := decoder.Message(reply, &decoded); err != nil {
 		return answer, trace.Wrap(err)
 	}
 	if decoded.Error != "" {
 		return answer, decodeError(decoded)
 	}
-	return answer, trace.Wrap(cbor.Unmarshal(decoded.Body, &answer))
+	return answer, trace.Wrap(decoder.Message(decoded.Body, &answer))
 }
 
 // StartCall starts a call and returns without waiting for its answer, which is
--- a/internal/messenger/plain.go
+++ b/internal/messenger/plain.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/decoder"
 )
 
 // silenceTimeout is how long sent bytes may stay unacknowledged before the
@@ -97,7 +98,7 @@
 	if _, err := io.ReadFull(conn, body); err != nil {
 		return certifier.Identity{}, trace.Wrap(err)
 	}
-	if err := cbor.Unmarshal(body, &hello); err != nil {
+	if err := decoder.Message(body, &hello); err != nil {
 		return certifier.Identity{}, trace.Wrap(err)
 	}
 	return certifier.Identity(hello), conn.SetReadDeadline(time.Time{})
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/decoder"
 )
 
 // Protocols of the peer port, as negotiated with ALPN.
@@ -48,7 +49,7 @@
 			return nil, trace.AccessDenied("%s %q may not call %s", from.Role, from.Name, method)
 		}
 		var query Q
-		if err := cbor.Unmarshal(body, &query); err != nil {
+		if err := decoder.Message(body, &query); err != nil {
 			return nil, trace.BadParameter("%s: %v", method, err)
 		}
 		answer, err := serve(ctx, from, query)
@@ -225,7 +226,7 @@
 // Do answers one call. Its signature is the one that net/rpc requires.
 func (s *peerService) Do(frame []byte, reply *[]byte) error {
 	var call callFrame
-	if err := cbor.Unmarshal(frame, &call); err != nil {
+	if err := decoder.Message(frame, &call); err != nil {
 		return trace.BadParameter("frame: %v", err)
 	}
 	handle, known := s.mux.handlers[call.Method]
--- a/internal/registrar/list.go
+++ b/internal/registrar/list.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/boragehead/boragehead/internal/decoder"
 )
 
 // List is a list of servers in the form in which processes exchange it. An entry that
@@ -14,13 +16,13 @@
 // UnmarshalCBOR implements cbor.Unmarshaler.
 func (l *List) UnmarshalCBOR(data []byte) error {
 	var entries []cbor.RawMessage
-	if err := cbor.Unmarshal(data, &entries); err != nil {
+	if err := decoder.Message(data, &entries); err != nil {
 		return err
 	}
 	*l = make(List, 0, len(entries))
 	for _, entry := range entries {
 		var server Server
-		if cbor.Unmarshal(entry, &server) != nil {
+		if decoder.Message(entry, &server) != nil {
 			server = Server{}
 		}
 		*l = append(*l, server)
