beaconer: a beacon with the loads of many servers is received

Callers would see: instances of a region that no longer know each other's loads, limits and spending, while one of them has ejected some hundred entries that lead nowhere, or servers.

Cause: the receive buffer held 16 KiB, and a longer datagram was cut and dropped. The senders are not told.

The buffer now holds the longest datagram.

--- a/internal/beaconer/beaconer.go
+++ b/internal/beaconer/beaconer.go
@@ -105,9 +105,8 @@
 	RelayAddress  netip.AddrPort `cbor:"y"`
 }
 
-// maxDatagram is the size of the receive buffer in bytes. A longer beacon is
-// truncated, cannot be decoded, and is dropped.
-const maxDatagram = 16 << 10
+// maxDatagram is the size of the receive buffer in bytes: no datagram is longer.
+const maxDatagram = 64 << 10
 
 // Socket is a UDP socket that sends and receives beacons. It is safe for concurrent
 // use, except that Run must be called only once.
