definer: a definition whose weights overflow is refused, not accepted and without effect

Callers would see: 503 no-service on a route, on all instances, after a definition with two weights of 2^63-1 was accepted.

Cause: the sum of the weights was negative, and only 0 was refused.

Evidence: TestCheck/weights_whose_sum_overflows failed before ("error is nil, not invalid definition").

--- a/internal/definer/check.go
+++ b/internal/definer/check.go
@@ -55,6 +55,9 @@
 	return nil
 }
 
+// maxWeight bounds the weight of a target, so that the sum of all fits into an int.
+const maxWeight = 1 << 30
+
 // checkTargets validates a route's targets. Field names the route in errors.
 func checkTargets(field string, targets []Target, services map[string]bool) error {
 	totalWeight := 0
@@ -62,8 +65,8 @@
 		if !services[target.Service] {
 			return invalid("%s: unknown service %q", field, target.Service)
 		}
-		if target.Weight < 0 {
-			return invalid("%s: weight of %q must be 0 or more", field, target.Service)
+		if target.Weight < 0 || target.Weight > maxWeight {
+			return invalid("%s: weight of %q must be 0 to %d", field, target.Service, maxWeight)
 		}
 		totalWeight += target.Weight
 	}
--- a/internal/definer/definer_test.go
+++ b/internal/definer/definer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -55,6 +56,9 @@
 		{"unknown service", func(d *Definition) { d.Routes[0].Targets[0].Service = "none" }, "unknown service"},
 		{"same place", func(d *Definition) { d.Routes[1].Prefix = "/" }, "same host and path prefix"},
 		{"no weight", func(d *Definition) { d.Routes[0].Targets[0].Weight = 0 }, "add up to 0"},
+		{"weights whose sum overflows", func(d *Definition) {
+			d.Routes[0].Targets = []Target{{Service: "engines", Weight: math.MaxInt}, {Service: "engines", Weight: math.MaxInt}}
+		}, "weight"},
 		{"no target", func(d *Definition) { d.Routes[0].Targets = nil }, "add up to 0"},
 		{"no timeout", func(d *Definition) { d.Routes[0].Timeout = 0 }, "timeout"},
 		{"shared key", func(d *Definition) { d.Workspaces[1].Keys = []string{"k1"} }, "same key"},
