controller, platform: tests that odd log entries and documents change nothing

They passed before: entries of the log that cannot be decoded are left out at each start, and documents that are nested too deeply, or have numbers too large, are refused.

--- a/internal/controller/oddservers_test.go
+++ b/internal/controller/oddservers_test.go
@@ -1,12 +1,14 @@
 package controller
 
 import (
+	"bytes"
 	"context"
 	"math"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/boragehead/boragehead/internal/certifier"
@@ -70,3 +72,40 @@
 		})
 	}
 }
+
+// TestOddLogEntryChangesNothing applies log entries that cannot be decoded, as after each
+// start. The state stays, and what follows is applied.
+func TestOddLogEntryChangesNothing(t *testing.T) {
+	encode := func(value any) []byte {
+		data, err := cbor.Marshal(value)
+		assert.NilError(t, err)
+		return data
+	}
+	tests := []struct {
+		name string
+		data []byte
+	}{
+		{"empty", nil},
+		{"no map", encode(7)},
+		{"nested deeply", bytes.Repeat([]byte{0x81}, 1<<20)},
+		{"domain not UTF-8", encode(command{CloseDomain: &closeCommand{FailureDomain: "\xff", Closed: true}})},
+		{"version too large", encode(map[string]any{"d": map[string]any{"v": 1e300}})},
+		{"document of another type", encode(map[string]any{"d": map[string]any{"v": 9, "d": map[int]int{1: 2}}})},
+		{"unknown command", encode(map[string]any{"x": 1})},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := &stateMachine{}
+			first, err := encodedDefine("4 a")
+			assert.NilError(t, err)
+			second, err := encodedDefine("5 b")
+			assert.NilError(t, err)
+			m.Apply(1, first)
+			want := m.state()
+			m.Apply(2, test.data)
+			assert.DeepEqual(t, m.state(), want)
+			m.Apply(3, second)
+			assert.Equal(t, string(m.state().Document), "5 b")
+		})
+	}
+}
