logger, platform: an error that quotes a document does not fill the log

Operators saw: a line of 16 MB "definition rejected" for a document with a number of 16 million digits, and the same in the answer.

Cause: encoding/json quotes the number that it cannot decode, and the texts of errors were not bounded.

--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -107,7 +107,11 @@
 	}
 }
 
-// ErrorText formats an error as a single line for the log. It returns "" for nil.
+// maxErrorBytes bounds the text of an error, which may quote what was received.
+const maxErrorBytes = 2 << 10
+
+// ErrorText formats an error as a single line for the log, of bounded length. It returns ""
+// for nil.
 func ErrorText(err error) string {
 	if err == nil {
 		return ""
@@ -118,7 +122,11 @@
 			parts = append(parts, line)
 		}
 	}
-	return strings.Join(parts, ": ")
+	text := strings.Join(parts, ": ")
+	if len(text) > maxErrorBytes {
+		text = strings.ToValidUTF8(text[:maxErrorBytes], "") + "..."
+	}
+	return text
 }
 
 // RateLimiter is a token-bucket rate limiter for log lines of one kind. The zero
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"log"
@@ -65,3 +66,12 @@
 	assert.Check(t, logged > 0 && logged < 5*kindBurst, "%d lines", logged)
 	assert.Check(t, out.Len() < 5*kindBurst*(maxStandardLineBytes+200), "%d bytes", out.Len())
 }
+
+// TestQuotedInputFillsLog formats an error that quotes a long number out of a document.
+func TestQuotedInputFillsLog(t *testing.T) {
+	var value struct{ Number int }
+	err := json.Unmarshal([]byte(`{"Number":`+strings.Repeat("9", 16<<20)+`}`), &value)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, len(ErrorText(err)) < 4<<10, "%d bytes", len(ErrorText(err)))
+	assert.Equal(t, ErrorText(errors.New("short")), "short")
+}
