--- a/internal/beaconer/beaconer.go
+++ b/internal/beaconer/beaconer.go
@@ -18,6 +18,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/boragehead/boragehead/internal/conductor"
+	"github.com/boragehead/boragehead/internal/decoder"
 	"github.com/boragehead/boragehead/internal/placer"
 	"github.com/boragehead/boragehead/internal/throttler"
 )
@@ -104,9 +105,8 @@
 	RelayAddress  netip.AddrPort `cbor:"y"`
 }
 
-// maxDatagram is the size of the receive buffer in bytes. A longer beacon is
-// truncated, cannot be decoded, and is dropped.
-const maxDatagram = 16 << 10
+// maxDatagram is the size of the receive buffer in bytes: no datagram is longer.
+const maxDatagram = 64 << 10
 
 // Socket is a UDP socket that sends and receives beacons. It is safe for concurrent
 // use, except that Run must be called only once.
@@ -169,7 +169,7 @@
 			continue
 		}
 		var beacon Beacon
-		if cbor.Unmarshal(buffer[:size], &beacon) == nil && p.recordIfNewer(beacon) {
+		if decoder.Message(buffer[:size], &beacon) == nil && p.recordIfNewer(beacon) {
 			handle(time.Now(), beacon)
 		}
 	}
--- a/internal/definer/definer_test.go
+++ b/internal/definer/definer_test.go
@@ -57,6 +57,9 @@
 		{"same place", func(d *Definition) { d.Routes[1].Prefix = "/" }, "same host and path prefix"},
 		{"no weight", func(d *Definition) { d.Routes[0].Targets[0].Weight = 0 }, "add up to 0"},
 		{"weights beyond all numbers", func(d *Definition) { d.Routes[0].Targets = []Target{{"engines", math.MaxInt}, {"desk", 1}} }, "add up to more"},
+		{"weights whose sum overflows", func(d *Definition) {
+			d.Routes[0].Targets = []Target{{Service: "engines", Weight: math.MaxInt}, {Service: "engines", Weight: math.MaxInt}}
+		}, "weight"},
 		{"no target", func(d *Definition) { d.Routes[0].Targets = nil }, "add up to 0"},
 		{"no timeout", func(d *Definition) { d.Routes[0].Timeout = 0 }, "timeout"},
 		{"shared key", func(d *Definition) { d.Workspaces[1].Keys = []string{"k1"} }, "same key"},
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -37,9 +37,11 @@
 func (f *Follower) Run(ctx context.Context) error {
 	ticker := time.NewTicker(refreshInterval)
 	defer ticker.Stop()
+	ctx, cancel := context.WithCancel(ctx)
 	var fetcher sync.WaitGroup
 	fetcher.Go(func() { f.runFetcher(ctx) })
 	defer fetcher.Wait()
+	defer cancel() // a panic must not wait for the fetcher
 	for {
 		f.refresh(ctx)
 		select {
@@ -85,11 +87,12 @@
 	watches, regionInstances int
 	// inContact is the sum of the hashes of the control instances in contact.
 	inContact uint64
+	claimsDue bool
 }
 
 // mergeInputs returns what a merge would depend on now. f.mu must be held.
 func (f *Follower) mergeInputs(now time.Time) mergeInputs {
-	inputs := mergeInputs{watches: len(f.controlWatches), regionInstances: f.placer.RegionInstances}
+	inputs := mergeInputs{watches: len(f.controlWatches), regionInstances: f.placer.RegionInstances, claimsDue: f.claims.isDue(now)}
 	for address, watch := range f.controlWatches {
 		if now.Sub(watch.lastAnswer) < controlContactTimeout {
 			inputs.inContact += xxhash.Sum64String(address)
@@ -213,6 +216,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	answer.Servers = answer.Servers.Valid(now, f.skipServer)
 	watch.lastAnswer, watch.region, watch.index = now, answer.Region, answer.Index
 	f.confirmNewest(sent.Add(answer.Held - answer.StateAge))
 	if len(f.newer) > 0 && answer.Index > f.stateIndex {
@@ -250,7 +254,7 @@
 		watch.peersRevision = answer.PeersRevision
 	}
 	for _, reported := range answer.Servers {
-		if known, exists := watch.reportsByServer[reported.Name]; !exists || !known.Newer(reported) {
+		if known, exists := watch.reportsByServer[reported.Name]; !exists || !known.Newer(reported) || isDropped(known.asOf(now)) {
 			watch.reportsByServer[reported.Name] = serverReport{Server: reported, receivedAt: now}
 		}
 	}
@@ -259,6 +263,13 @@
 	}
 }
 
+// skipServer logs that a control instance has reported what cannot be a server.
+func (f *Follower) skipServer(name string, cause error) {
+	if leftOut, ok := f.skippedLogged.Allow(time.Now()); ok {
+		klog.InfoS("invalid server skipped", "server", name, "err", logger.ErrorText(cause), "left-out", leftOut)
+	}
+}
+
 // applyMembers adds the control instances that an answer lists, and takes over the
 // list of entry instances of the control instance that answered. f.mu must be held.
 func (f *Follower) applyMembers(now time.Time, watch *controlWatch, answer controller.WatchAnswer) {
