forwarder, follower: log how the version of a stream that is taken up was found

The request's line named the version of the server, but not whether that of the stream came from this instance's own table, a control instance's record or the sole version of the service, nor how old the knowledge of the servers was. An instance that is out of step could not be told from a control instance that is. What is answered does not change.

--- a/internal/follower/origins.go
+++ b/internal/follower/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -97,17 +98,15 @@
 	f.originsRestarted = f.originsRestarted || answer.Epoch != watch.epoch
 }
 
-// VersionsCurrent reports whether a control instance has answered lately.
-func (f *Follower) VersionsCurrent() bool {
+// VersionsAge returns how long ago a control instance last answered.
+func (f *Follower) VersionsAge() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now, age := time.Now(), time.Duration(math.MaxInt64)
 	for _, watch := range f.controlWatches {
-		if now.Sub(watch.lastAnswer) <= maxVersionAge {
-			return true
-		}
+		age = min(age, now.Sub(watch.lastAnswer))
 	}
-	return false
+	return age
 }
 
 // ReportOrigins reports the origins of streams to a control instance until the context
@@ -191,25 +190,26 @@
 	return messenger.Call[Q, A](ctx, f.client, messenger.Endpoint{Name: address, Address: parsed}, method, query)
 }
 
-// Origin returns the version by which the stream of a request began, or false if neither
-// this instance nor a control instance in reach knows it.
-func (f *Follower) Origin(ctx context.Context, request, service string) (string, bool) {
+// Origin returns the version by which the stream of a request began and how that was
+// found: versioner.SourceUnknown if neither this instance nor a control instance in reach
+// knows it.
+func (f *Follower) Origin(ctx context.Context, request, service string) (string, versioner.Source) {
 	stream := versioner.NewStreamID(request)
 	f.origins.mu.Lock()
 	version, known := f.origins.table.Version(time.Now(), stream)
 	f.origins.mu.Unlock()
 	if known {
-		return version, true
+		return version, versioner.SourceOwn
 	}
 	began := time.Now()
-	version, known = f.askOrigin(ctx, controller.OriginQuery{Stream: stream, Service: service})
-	klog.V(2).InfoS("origin of a stream", "request", request, "service", service, "version", version, "known", known, "took", time.Since(began))
-	return version, known
+	version, source := f.askOrigin(ctx, controller.OriginQuery{Stream: stream, Service: service})
+	klog.V(2).InfoS("origin of a stream", "request", request, "service", service, "version", version, "source", source, "took", time.Since(began))
+	return version, source
 }
 
 // askOrigin asks all control instances at once. What one of them knows of the stream counts
 // first, and then that the service has had one version for long.
-func (f *Follower) askOrigin(ctx context.Context, query controller.OriginQuery) (string, bool) {
+func (f *Follower) askOrigin(ctx context.Context, query controller.OriginQuery) (string, versioner.Source) {
 	near, far := f.controlsByDistance()
 	addresses := slices.Concat(near, far)
 	answers := make(chan controller.OriginAnswer, len(addresses))
@@ -225,13 +225,13 @@
 	for range addresses {
 		answer := <-answers
 		if answer.Version != "" {
-			return answer.Version, true
+			return answer.Version, versioner.SourceReported
 		}
 		if answer.SoleVersion != "" && !f.hasOtherVersion(query.Service, answer.SoleVersion) {
-			return answer.SoleVersion, true
+			return answer.SoleVersion, versioner.SourceSole
 		}
 	}
-	return "", false
+	return "", versioner.SourceUnknown
 }
 
 // hasOtherVersion reports whether this instance knows a server of a service with another
--- a/internal/follower/origins_test.go
+++ b/internal/follower/origins_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/boragehead/boragehead/internal/controller"
 	"github.com/boragehead/boragehead/internal/registrar"
+	"github.com/boragehead/boragehead/internal/versioner"
 )
 
 // answerMixed has a control instance say which services have several versions.
@@ -47,7 +48,7 @@
 		f, _, _ := newFollower(t)
 		f.RecordOrigin("r1", "s", "v1", time.Minute)
 		assert.Equal(t, len(f.dueOrigins(time.Now())), 1)
-		assert.Assert(t, !f.VersionsCurrent())
+		assert.Assert(t, f.VersionsAge() > time.Hour)
 	})
 }
 
@@ -74,16 +75,17 @@
 func TestOwnStreamIsKnownWithoutContact(t *testing.T) {
 	f, north, _ := newFollower(t)
 	f.RecordOrigin("r1", "s", "v1", time.Minute)
-	version, known := f.Origin(t.Context(), "r1", "s")
-	assert.Assert(t, known && version == "v1")
+	version, source := f.Origin(t.Context(), "r1", "s")
+	assert.Equal(t, version, "v1")
+	assert.Equal(t, source, versioner.SourceOwn)
 	clear(f.controlWatches)
-	_, known = f.Origin(t.Context(), "r2", "s")
-	assert.Assert(t, !known)
+	_, source = f.Origin(t.Context(), "r2", "s")
+	assert.Equal(t, source, versioner.SourceUnknown)
 	second := server(registrar.StateReady, 1)
 	second.Version = "v2"
 	f.receiveReports(time.Now(), north, second)
 	f.controlWatches["north"] = north
 	f.receiveReports(time.Now(), north, second)
 	assert.Assert(t, f.hasOtherVersion("s", "v1"))
-	assert.Assert(t, f.VersionsCurrent())
+	assert.Assert(t, f.VersionsAge() < time.Second)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/boragehead/boragehead/internal/placer"
 	"github.com/boragehead/boragehead/internal/quarantiner"
 	"github.com/boragehead/boragehead/internal/reserver"
+	"github.com/boragehead/boragehead/internal/versioner"
 )
 
 // Call is a caller's request together with the routing decisions made for it.
@@ -87,6 +88,10 @@
 	server string
 	// serverVersion is the version of that server's software, if it is known.
 	serverVersion string
+	// originSource is how the version of the stream was found that the call takes up, and
+	// versionsAge how old the knowledge of the servers' versions was then; empty for others.
+	originSource versioner.Source
+	versionsAge  time.Duration
 	// relayRegion is the region that the call was last relayed to, if any.
 	relayRegion string
 	// predictedWait is the placer's prediction of the time to the first event.
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -58,7 +58,7 @@
 	if !call.Deadline.IsZero() {
 		left = time.Until(call.Deadline)
 	}
-	klog.InfoS("request", "id", call.ID, "resumes", call.Resumes, "after", call.LastEventID, "outcome", outcome, "status", record.status, "reason", reason, "note", record.note[:min(len(record.note), maxNoteBytes)],
+	klog.InfoS("request", "id", call.ID, "resumes", call.Resumes, "after", call.LastEventID, "origin", record.originSource, "versions-age", record.versionsAge, "outcome", outcome, "status", record.status, "reason", reason, "note", record.note[:min(len(record.note), maxNoteBytes)],
 		"route", route, "workspace", workspace, "version", record.definitionVersion, "behind", record.behind, "unconfirmed", record.unconfirmed,
 		"bound", call.HomeRegionsOnly, "homes", call.HomeRegions, "relayed", call.Relayed, "server", record.server, "server-version", record.serverVersion,
 		"region", record.relayRegion, "usable", record.usableServers, "attempts", record.attempts,
--- a/internal/forwarder/version.go
+++ b/internal/forwarder/version.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/boragehead/boragehead/internal/placer"
+	"github.com/boragehead/boragehead/internal/versioner"
 )
 
 // Origins knows by which software version of a service each stream began: it may go on only
@@ -14,12 +15,11 @@
 	// RecordOrigin records the version by which the stream began that a request brought
 	// the first event of, and how long callers may take it up.
 	RecordOrigin(request, service, version string, left time.Duration)
-	// Origin returns the version by which the stream of a request began, or false if that
-	// is not known.
-	Origin(ctx context.Context, request, service string) (string, bool)
-	// VersionsCurrent reports whether what is known here of the servers is so new that a
-	// start with another version would have been heard of.
-	VersionsCurrent() bool
+	// Origin returns the version by which the stream of a request began and how that was
+	// found, versioner.SourceUnknown if it was not.
+	Origin(ctx context.Context, request, service string) (string, versioner.Source)
+	// VersionsAge returns how old what is known here of the servers' versions is.
+	VersionsAge() time.Duration
 }
 
 // UseOrigins makes streams go on only at the version that began them. It must be called
@@ -37,6 +37,9 @@
 	reasonVersionUnknown = "version-unknown"
 	// versionRetryAfter is when the caller may find it known.
 	versionRetryAfter = 300 * time.Millisecond
+	// maxVersionsAge is how old what is known of the servers may be for a stream to go on:
+	// a server may start again with another version meanwhile.
+	maxVersionsAge = 3 * time.Second
 )
 
 // takesUp reports whether a call goes on with a stream that another call began.
@@ -59,14 +62,16 @@
 	if f.origins == nil || !call.takesUp() {
 		return nil
 	}
-	known := call.streamVersion != ""
+	version, source := "", versioner.SourceUnknown
 	switch {
-	case known || call.Relayed: // the relaying instance has found it
-		out.version = call.streamVersion
-	case call.Resumes != "":
-		out.version, known = f.origins.Origin(ctx, call.Resumes, call.Service.Name)
+	case call.streamVersion != "":
+		version, source = call.streamVersion, versioner.SourceRelayed
+	case !call.Relayed && call.Resumes != "":
+		version, source = f.origins.Origin(ctx, call.Resumes, call.Service.Name)
 	}
-	if !known || out.version == "" || !f.origins.VersionsCurrent() {
+	age := f.origins.VersionsAge()
+	out.version, call.record.originSource, call.record.versionsAge = version, source, age
+	if version == "" || age > maxVersionsAge {
 		f.metrics.Count("streams-not-taken-up")
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: reasonVersionUnknown, RetryAfter: versionRetryAfter}
 	}
@@ -77,7 +82,7 @@
 // mayGoOn reports whether a stream that has begun here may go on at some server: the version
 // that began it is known, and so are those of the servers.
 func (f *Forwarder) mayGoOn(out *callerResponse) bool {
-	if f.origins == nil || !out.streamStarted || out.version != "" && f.origins.VersionsCurrent() {
+	if f.origins == nil || !out.streamStarted || out.version != "" && f.origins.VersionsAge() <= maxVersionsAge {
 		return true
 	}
 	f.metrics.Count("streams-not-resumed")
--- a/internal/forwarder/version_test.go
+++ b/internal/forwarder/version_test.go
@@ -16,6 +16,7 @@
 	"github.com/boragehead/boragehead/internal/definer"
 	"github.com/boragehead/boragehead/internal/measurer"
 	"github.com/boragehead/boragehead/internal/placer"
+	"github.com/boragehead/boragehead/internal/versioner"
 )
 
 // fixedOrigins knows the versions of some streams and records those that begin.
@@ -34,15 +35,22 @@
 	}
 }
 
-func (o *fixedOrigins) Origin(_ context.Context, request, _ string) (string, bool) {
+func (o *fixedOrigins) Origin(_ context.Context, request, _ string) (string, versioner.Source) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.asked++
-	version, known := o.versions[request]
-	return version, known
+	if version, known := o.versions[request]; known {
+		return version, versioner.SourceReported
+	}
+	return "", versioner.SourceUnknown
 }
 
-func (o *fixedOrigins) VersionsCurrent() bool { return !o.outdated }
+func (o *fixedOrigins) VersionsAge() time.Duration {
+	if o.outdated {
+		return maxVersionsAge + 1
+	}
+	return maxVersionsAge
+}
 
 // versionedFleet is a testFleet that places a request only at servers of its version.
 type versionedFleet struct{ *testFleet }
--- a/internal/versioner/versioner.go
+++ b/internal/versioner/versioner.go
@@ -26,6 +26,23 @@
 	return StreamID(xxhash.Sum64String(request))
 }
 
+// Source is how the version was found by which a stream began.
+type Source string
+
+// Sources of a version.
+const (
+	// SourceOwn means that the stream began at the instance itself.
+	SourceOwn Source = "own"
+	// SourceReported means that a control instance had been told of the stream.
+	SourceReported Source = "reported"
+	// SourceSole means that the service has had no other version for long.
+	SourceSole Source = "sole"
+	// SourceRelayed means that the instance was told that relayed the request.
+	SourceRelayed Source = "relayed"
+	// SourceUnknown means that the version was not found.
+	SourceUnknown Source = "unknown"
+)
+
 // Origin tells by which version a stream began, in the form in which tables exchange it.
 type Origin struct {
 	Stream  StreamID `cbor:"s"`
