follower: origins of streams are reported also while a service has one version

An instance told the control instances by which version a stream began only once one of them called the service mixed, and of streams in progress when that changed. Until it heard of the second version, its streams were known to nobody else, and whoever took one up had to rely on the sole version of the service, which may be old knowledge. That a stream began at a version never gets old.

Each stream is now reported, in batches of 100 ms; in large fleets of 500 ms while all services have one version. All are reported again when a control instance starts anew. The services of streams need not be known any more.

--- a/internal/follower/origins.go
+++ b/internal/follower/origins.go
@@ -19,8 +19,10 @@
 
 // Timing of the origins of streams.
 const (
-	// originInterval is how long origins are batched before they are reported.
-	originInterval = 100 * time.Millisecond
+	// originInterval is how long origins are batched before they are reported, and
+	// largeFleetOriginInterval the same in large fleets while all services have one version.
+	originInterval           = 100 * time.Millisecond
+	largeFleetOriginInterval = 500 * time.Millisecond
 	// originTimeout bounds one report to a control instance, and askTimeout the questions
 	// for one stream: its caller waits for it.
 	originTimeout = 500 * time.Millisecond
@@ -39,33 +41,21 @@
 // instances must still be told of. Its lock may be taken while f.mu is held, but not the
 // other way round.
 type origins struct {
-	mu      sync.Mutex
-	table   versioner.Table
-	pending []versioner.Origin
-	// uniform holds whether all control instances in contact knew a service to have one
-	// version, when its origins were last reported.
-	uniform map[string]bool
-	// services holds the names of the services of the streams in the table, by their hash.
-	services map[uint64]string
+	mu         sync.Mutex
+	table      versioner.Table
+	pending    []versioner.Origin
+	lastReport time.Time
 }
 
 // RecordOrigin records by which version of a service the stream began that a request
-// brought the first event of. The control instances are told unless the service has had one
-// version for long.
-func (f *Follower) RecordOrigin(request, service, version string, left time.Duration) {
+// brought the first event of. The control instances are told also of streams of services
+// with one version: another one may have appeared where they cannot hear of it.
+func (f *Follower) RecordOrigin(request, version string, left time.Duration) {
 	o := &f.origins
-	origin := versioner.Origin{Stream: versioner.NewStreamID(request), Version: version, Service: versioner.HashService(service), Left: left}
-	isUniform := f.isUniform(time.Now(), service)
+	origin := versioner.Origin{Stream: versioner.NewStreamID(request), Version: version, Left: left}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.table.Add(time.Now(), origin) {
-		return
-	}
-	if o.services == nil {
-		o.services = map[uint64]string{}
-	}
-	o.services[origin.Service] = service
-	if !isUniform {
+	if o.table.Add(time.Now(), origin) {
 		o.addPending([]versioner.Origin{origin})
 	}
 }
@@ -75,16 +65,15 @@
 	o.pending = append(o.pending, origins[:min(len(origins), max(maxPendingOrigins-len(o.pending), 0))]...)
 }
 
-// isUniform reports whether a service is known to have had one version for long.
-func (f *Follower) isUniform(now time.Time, service string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// allUniform reports whether all services are known to have had one version for long.
+// f.mu must be held.
+func (f *Follower) allUniform(now time.Time) bool {
 	answered := false
 	for _, watch := range f.controlWatches {
 		if now.Sub(watch.lastAnswer) > maxVersionAge {
 			continue
 		}
-		if watch.mixed == nil || watch.mixed.All || slices.Contains(watch.mixed.Names, service) {
+		if watch.mixed == nil || watch.mixed.All || len(watch.mixed.Names) > 0 {
 			return false
 		}
 		answered = true
@@ -130,36 +119,29 @@
 	})
 }
 
-// dueOrigins returns the origins to report: the pending ones, all of a service that has got
-// a second version, and all once a control instance has started anew.
+// dueOrigins returns the origins to report: the pending ones, and all once a control
+// instance has started anew.
 func (f *Follower) dueOrigins(now time.Time) []versioner.Origin {
 	f.mu.Lock()
 	restarted := f.originsRestarted
 	f.originsRestarted = false
+	interval := originInterval
+	if f.isLargeFleet() && f.allUniform(now) {
+		interval = largeFleetOriginInterval
+	}
 	f.mu.Unlock()
 	o := &f.origins
 	o.mu.Lock()
-	services := make(map[uint64]string, len(o.services))
-	for hash, name := range o.services {
-		services[hash] = name
-	}
-	o.mu.Unlock()
-	uniform := map[string]bool{}
-	for _, name := range services {
-		uniform[name] = f.isUniform(now, name)
-	}
-	o.mu.Lock()
 	defer o.mu.Unlock()
-	due := o.pending
-	o.pending = nil
-	for hash, name := range services {
-		if wasUniform, known := o.uniform[name]; !uniform[name] && (restarted || wasUniform || !known) {
-			due = slices.DeleteFunc(due, func(pending versioner.Origin) bool { return pending.Service == hash })
-			due = append(due, o.table.OfService(now, hash)...)
-		}
+	switch {
+	case restarted:
+		o.pending = o.table.All(now)
+	case now.Sub(o.lastReport) < interval:
+		return nil
 	}
-	o.uniform = uniform
-	return due[:min(len(due), maxPendingOrigins)]
+	due := o.pending[:min(len(o.pending), maxPendingOrigins)]
+	o.pending, o.lastReport = nil, now
+	return due
 }
 
 // sendOrigins reports origins to one control instance, of this region if one confirms it,
--- a/internal/forwarder/version.go
+++ b/internal/forwarder/version.go
@@ -14,7 +14,7 @@
 type Origins interface {
 	// RecordOrigin records the version by which the stream began that a request brought
 	// the first event of, and how long callers may take it up.
-	RecordOrigin(request, service, version string, left time.Duration)
+	RecordOrigin(request, version string, left time.Duration)
 	// Origin returns the version by which the stream of a request began and how that was
 	// found, versioner.SourceUnknown if it was not.
 	Origin(ctx context.Context, request, service string) (string, versioner.Source)
@@ -99,7 +99,7 @@
 		return
 	}
 	left := max(time.Until(call.Deadline), time.Until(call.Arrived.Add(call.Timeout)))
-	f.origins.RecordOrigin(call.streamName(), call.Service.Name, r.version, left+originGrace)
+	f.origins.RecordOrigin(call.streamName(), r.version, left+originGrace)
 }
 
 // placeAtVersion asks for a placement. A stream does not go on at a server that has lately
--- a/internal/versioner/versioner.go
+++ b/internal/versioner/versioner.go
@@ -47,17 +47,10 @@
 type Origin struct {
 	Stream  StreamID `cbor:"s"`
 	Version string   `cbor:"v"`
-	// Service is the hash of the service's name.
-	Service uint64 `cbor:"r,omitempty"`
 	// Left is how long the stream may still be taken up.
 	Left time.Duration `cbor:"l"`
 }
 
-// HashService returns the hash of a service's name in an Origin.
-func HashService(name string) uint64 {
-	return xxhash.Sum64String(name)
-}
-
 // Table holds the origins of streams. The zero value is empty. It is not safe for
 // concurrent use.
 type Table struct {
@@ -71,7 +64,6 @@
 
 type origin struct {
 	version string
-	service uint64
 	until   time.Duration
 }
 
@@ -88,7 +80,7 @@
 		version = added.Version
 		t.versions[version] = version
 	}
-	t.origins[added.Stream] = origin{version: version, service: added.Service, until: now.Sub(t.base) + added.Left}
+	t.origins[added.Stream] = origin{version: version, until: now.Sub(t.base) + added.Left}
 	return true
 }
 
@@ -101,12 +93,12 @@
 	return known.version, true
 }
 
-// OfService returns the origins of the streams of a service, in no particular order.
-func (t *Table) OfService(now time.Time, service uint64) []Origin {
-	var origins []Origin
+// All returns the origins of all streams that may still be taken up, in no particular order.
+func (t *Table) All(now time.Time) []Origin {
+	origins := make([]Origin, 0, len(t.origins))
 	for stream, known := range t.origins {
-		if left := known.until - now.Sub(t.base); known.service == service && left > 0 {
-			origins = append(origins, Origin{Stream: stream, Version: known.version, Service: service, Left: left})
+		if left := known.until - now.Sub(t.base); left > 0 {
+			origins = append(origins, Origin{Stream: stream, Version: known.version, Left: left})
 		}
 	}
 	return origins
