follower: the sole version of a service counts only if all control instances know it

Callers got streams of two versions: a stream that began at a server of a new version, broke, and was taken up at an instance that could reach only control instances which had not heard of that version went on at a server of the old one.

Now all control instances that may have heard a server must name the same version, each when it is asked. The stream began before that, at a server that one of them had heard; which of them is out of step does not matter.

--- a/internal/controller/origins.go
+++ b/internal/controller/origins.go
@@ -45,11 +45,16 @@
 }
 
 // OriginAnswer is the answer to an OriginQuery. Version is set if the stream is known.
-// Otherwise SoleVersion is set if the service has had no other version for so long that all
-// its streams began at that one.
+// Otherwise SoleVersion is set if the answering process has heard of no other version of the
+// service for longer than streams last. All Controls must say so: a process that was cut
+// off or stood still has not heard what the others have.
 type OriginAnswer struct {
 	Version     string `cbor:"v,omitempty"`
 	SoleVersion string `cbor:"o,omitempty"`
+	// Controls are the peer addresses of all control instances that may have heard of
+	// another version, the answering one included; set together with SoleVersion, but not by
+	// processes of an earlier release.
+	Controls []string `cbor:"c,omitempty"`
 }
 
 const (
@@ -126,23 +131,29 @@
 	if now.Sub(time.Unix(0, c.epoch)) < versionsSettledAfter {
 		return false
 	}
-	others := map[string]bool{}
-	for _, address := range members {
-		others[address] = true
-	}
-	for address := range c.peers.controls {
-		others[address] = true
-	}
-	delete(others, c.settings.PeerAddress.String())
-	limit := time.Duration(len(others)+2) * exchangeInterval
-	for address := range others {
-		if now.Sub(c.peers.controls[address]) > limit {
+	self := c.settings.PeerAddress.String()
+	controls := c.hearingControls(members)
+	limit := time.Duration(len(controls)+1) * exchangeInterval
+	for _, address := range controls {
+		if address != self && now.Sub(c.peers.controls[address]) > limit {
 			return false
 		}
 	}
 	return true
 }
 
+// hearingControls returns the peer addresses of the control instances to which servers may
+// announce themselves: this one, the members of the group, and those that were heard. c.mu
+// must be held.
+func (c *Controller) hearingControls(members []string) []string {
+	controls := append([]string{c.settings.PeerAddress.String()}, members...)
+	for address := range c.peers.controls {
+		controls = append(controls, address)
+	}
+	slices.Sort(controls)
+	return slices.Compact(controls)
+}
+
 // memberNames returns the peer addresses of the group's members. c.mu must not be held.
 func (c *Controller) memberNames() []string {
 	var names []string
@@ -187,7 +198,7 @@
 	}
 	for _, server := range c.servers.Since(now, 0) {
 		if server.Service == query.Service {
-			return OriginAnswer{SoleVersion: server.Version}, nil
+			return OriginAnswer{SoleVersion: server.Version, Controls: c.hearingControls(members)}, nil
 		}
 	}
 	return OriginAnswer{}, nil
--- a/internal/follower/origins.go
+++ b/internal/follower/origins.go
@@ -189,33 +189,68 @@
 	return version, source
 }
 
-// askOrigin asks all control instances at once. What one of them knows of the stream counts
-// first, and then that the service has had one version for long.
+// askOrigin asks all control instances at once. What one of them was told of the stream
+// counts first, and then that all of them know one version of the service.
 func (f *Follower) askOrigin(ctx context.Context, query controller.OriginQuery) (string, versioner.Source) {
 	near, far := f.controlsByDistance()
 	addresses := slices.Concat(near, far)
-	answers := make(chan controller.OriginAnswer, len(addresses))
+	answers := make(chan originAnswer, len(addresses))
 	for _, address := range addresses {
 		go func() {
 			answer, err := askControl[controller.OriginQuery, controller.OriginAnswer](ctx, f, address, controller.MethodOrigin, query, askTimeout)
 			if err != nil {
 				klog.V(2).InfoS("cannot ask for the origin of a stream", "of", address, "err", logger.ErrorText(err))
 			}
-			answers <- answer
+			answers <- originAnswer{OriginAnswer: answer, from: address, failed: err != nil}
 		}()
 	}
+	answered := map[string]controller.OriginAnswer{}
 	for range addresses {
 		answer := <-answers
 		if answer.Version != "" {
 			return answer.Version, versioner.SourceReported
 		}
-		if answer.SoleVersion != "" && !f.hasOtherVersion(query.Service, answer.SoleVersion) {
-			return answer.SoleVersion, versioner.SourceSole
+		if !answer.failed {
+			answered[answer.from] = answer.OriginAnswer
 		}
 	}
+	if sole := soleVersion(addresses, answered); sole != "" && !f.hasOtherVersion(query.Service, sole) {
+		return sole, versioner.SourceSole
+	}
 	return "", versioner.SourceUnknown
 }
 
+// originAnswer is the answer of one control instance to a question, or that it failed.
+type originAnswer struct {
+	controller.OriginAnswer
+	from   string
+	failed bool
+}
+
+// soleVersion returns the version that all control instances know as the only one of a
+// service, or an empty string if there is none or one that may know another has not
+// answered. The stream began before they were asked, so that the version of its server was
+// known to one of them.
+func soleVersion(asked []string, answered map[string]controller.OriginAnswer) string {
+	sole := ""
+	for _, answer := range answered {
+		needed := answer.Controls
+		if len(needed) == 0 { // an earlier release
+			needed = asked
+		}
+		for _, address := range needed {
+			if _, exists := answered[address]; !exists {
+				return ""
+			}
+		}
+		if answer.SoleVersion == "" || sole != "" && answer.SoleVersion != sole {
+			return ""
+		}
+		sole = answer.SoleVersion
+	}
+	return sole
+}
+
 // hasOtherVersion reports whether this instance knows a server of a service with another
 // version.
 func (f *Follower) hasOtherVersion(service, version string) bool {
--- /dev/null
+++ b/internal/follower/outofstep_test.go
@@ -0,0 +1,86 @@
+package follower
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/controller"
+	"github.com/boragehead/boragehead/internal/messenger"
+	"github.com/boragehead/boragehead/internal/versioner"
+)
+
+// serveOrigins starts a control instance that gives one answer to each question for the
+// origin of a stream, or none if that is nil.
+func serveOrigins(t *testing.T, address netip.AddrPort, answer *controller.OriginAnswer) {
+	mux := &messenger.Mux{}
+	gates := []certifier.Role{certifier.RoleGate}
+	messenger.Handle(mux, controller.MethodOrigin, gates, func(ctx context.Context, _ certifier.Identity, _ controller.OriginQuery) (controller.OriginAnswer, error) {
+		if answer == nil {
+			<-ctx.Done()
+			return controller.OriginAnswer{}, ctx.Err()
+		}
+		return *answer, nil
+	})
+	listener, err := net.Listen("tcp4", address.String())
+	assert.NilError(t, err)
+	go func() { assert.Check(t, messenger.NewPlainServer(listener, mux).Run(t.Context())) }()
+}
+
+// TestSoleVersionOfControlInstanceOutOfStep takes up a stream that began at a version which
+// one control instance has not heard of, since it was cut off or stood still.
+func TestSoleVersionOfControlInstanceOutOfStep(t *testing.T) {
+	const a, b, c = "127.185.0.1:7600", "127.185.0.2:7600", "127.185.0.3:7600"
+	group := []string{a, b, c}
+	sole := &controller.OriginAnswer{SoleVersion: "v1", Controls: group}
+	tests := []struct {
+		name    string
+		answers []*controller.OriginAnswer
+		version string
+		source  versioner.Source
+	}{
+		{"all know one version", []*controller.OriginAnswer{sole, sole, sole}, "v1", versioner.SourceSole},
+		{"one knows of another", []*controller.OriginAnswer{sole, {}, sole}, "", versioner.SourceUnknown},
+		{"one knows only another", []*controller.OriginAnswer{sole, sole, {SoleVersion: "v2", Controls: group}}, "", versioner.SourceUnknown},
+		{"one does not answer", []*controller.OriginAnswer{sole, nil, sole}, "", versioner.SourceUnknown},
+		{"one is not known here", []*controller.OriginAnswer{sole, sole}, "", versioner.SourceUnknown},
+		{"one was told of the stream", []*controller.OriginAnswer{sole, {Version: "v2"}, nil}, "v2", versioner.SourceReported},
+		{"one that is gone does not answer", []*controller.OriginAnswer{{SoleVersion: "v1", Controls: []string{a, b}}, {SoleVersion: "v1", Controls: []string{a, b}}, nil}, "v1", versioner.SourceSole},
+		{"earlier release", []*controller.OriginAnswer{{SoleVersion: "v1"}, {SoleVersion: "v1"}, nil}, "", versioner.SourceUnknown},
+	}
+	for i, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			addresses := map[string]string{}
+			for j, name := range group {
+				addresses[name] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 185, byte(os.Getpid()), byte(10*i + j + 10)}), 7600).String()
+			}
+			f, _, _ := newFollower(t)
+			f.client = messenger.NewPlainClient(certifier.Identity{Name: "a", Role: certifier.RoleGate})
+			clear(f.controlWatches)
+			for j, answer := range test.answers {
+				address := addresses[group[j]]
+				if answer != nil {
+					renamed := *answer
+					renamed.Controls = nil
+					for _, name := range answer.Controls {
+						renamed.Controls = append(renamed.Controls, addresses[name])
+					}
+					answer = &renamed
+				}
+				serveOrigins(t, netip.MustParseAddrPort(address), answer)
+				f.controlWatches[address] = &controlWatch{lastAnswer: time.Now(), cancel: func() {}}
+			}
+			for range 5 { // in whatever order they answer
+				version, source := f.Origin(t.Context(), "r1", "s")
+				assert.Equal(t, version, test.version)
+				assert.Equal(t, source, test.source)
+			}
+		})
+	}
+}
