controller: servers that start again under their names leave their old version in the record

Once all servers of a service had started again under their names with another version, control instances called it uniform, and a stream that began at the old version and was reported to nobody would be taken up at the new one. The table holds one start for each name, so that the old version was forgotten at once, and not two minutes later as for servers with other names.

Versions are now remembered apart from the servers, by service, for two minutes after a server with them was last heard. TestSoleVersionIsToldOnlyIfSure, case "all have started again with another version", gave v2 before.

--- a/internal/controller/origins.go
+++ b/internal/controller/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -75,6 +74,7 @@
 type originKeeper struct {
 	table   versioner.Table
 	pending []versioner.Origin
+	history versioner.History
 	// mixed is what watches are told.
 	mixed MixedServices
 }
@@ -100,22 +100,16 @@
 }
 
 // updateMixedServices finds out which services have several versions. Departed and silent
-// servers count for as long as they are in the table, which is longer than streams last; a
-// server without a known version counts as one of another version. It reports whether that
-// changed. c.mu must be held.
+// servers, and earlier starts of a name, count for longer than streams last; a server without
+// a known version counts as one of another version. It reports whether that changed. c.mu
+// must be held.
 func (c *Controller) updateMixedServices(now time.Time, members []string) bool {
-	versions, mixed := map[string]string{}, map[string]bool{}
 	for _, server := range c.servers.Since(now, 0) {
-		if server.Service == "" {
-			continue // the tombstone of a server that was never heard
-		}
-		known, exists := versions[server.Service]
-		versions[server.Service] = server.Version
-		if server.Version == "" || exists && known != server.Version {
-			mixed[server.Service] = true
+		if server.Service != "" { // no tombstone of a server that was never heard
+			c.origins.history.Record(server.Service, server.Version, now.Add(-server.Age))
 		}
 	}
-	updated := newMixedServices(slices.Sorted(maps.Keys(mixed)), !c.hearsAllServers(now, members))
+	updated := newMixedServices(c.origins.history.Mixed(now), !c.hearsAllServers(now, members))
 	changed := updated.Hash != c.origins.mixed.Hash
 	if changed {
 		klog.InfoS("services with several versions", "services", updated.Names, "all", updated.All)
--- a/internal/controller/origins_test.go
+++ b/internal/controller/origins_test.go
@@ -38,14 +38,18 @@
 		// departed means that the first server has left, and started that the instance has
 		// just started.
 		departed, started bool
-		want              string
+		// again, unless empty, is the version with which all start again under their names.
+		again string
+		want  string
 	}{
-		{"one version", []string{"v1", "v1", "v1"}, false, false, "v1"},
-		{"two versions", []string{"v1", "v2", "v1"}, false, false, ""},
-		{"the old version has left not long ago", []string{"v1", "v2", "v2"}, true, false, ""},
-		{"a server without a version", []string{"v1", "", "v1"}, false, false, ""},
-		{"just started", []string{"v1", "v1"}, false, true, ""},
-		{"no server", nil, false, false, ""},
+		{"one version", []string{"v1", "v1", "v1"}, false, false, "", "v1"},
+		{"two versions", []string{"v1", "v2", "v1"}, false, false, "", ""},
+		{"the old version has left not long ago", []string{"v1", "v2", "v2"}, true, false, "", ""},
+		{"a server without a version", []string{"v1", "", "v1"}, false, false, "", ""},
+		{"just started", []string{"v1", "v1"}, false, true, "", ""},
+		{"no server", nil, false, false, "", ""},
+		{"all have started again with the same version", []string{"v1", "v1"}, false, false, "v1", "v1"},
+		{"all have started again with another version", []string{"v1", "v1"}, false, false, "v2", ""},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -57,6 +61,12 @@
 			for i, version := range test.versions {
 				announceVersion(t, c.Controller, fmt.Sprint("server-", i), version)
 			}
+			if test.again != "" {
+				time.Sleep(2 * originInterval) // the versions are looked at, and the starts differ in their times
+				for i := range test.versions {
+					announceVersion(t, c.Controller, fmt.Sprint("server-", i), test.again)
+				}
+			}
 			if test.departed {
 				assert.NilError(t, c.Leave(t.Context(), "server-0", 0))
 			}
--- a/internal/versioner/versioner.go
+++ b/internal/versioner/versioner.go
@@ -10,6 +10,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -117,3 +118,48 @@
 func (t *Table) Len() int {
 	return len(t.origins)
 }
+
+// HistoryRetention is how long a version is remembered after a server with it was last
+// heard, which is longer than streams last.
+const HistoryRetention = 2 * time.Minute
+
+// History holds which versions the servers of each service have had: a server may have
+// started again under its name with another one. The zero value is empty. It is not safe
+// for concurrent use.
+type History struct {
+	// lastHeard is keyed by service and version.
+	lastHeard map[string]map[string]time.Time
+}
+
+// Record adds the version of a server, which was heard at a time.
+func (h *History) Record(service, version string, heard time.Time) {
+	if h.lastHeard == nil {
+		h.lastHeard = map[string]map[string]time.Time{}
+	}
+	versions := h.lastHeard[service]
+	if versions == nil {
+		versions = map[string]time.Time{}
+		h.lastHeard[service] = versions
+	}
+	if heard.After(versions[version]) {
+		versions[version] = heard
+	}
+}
+
+// Mixed returns the services, sorted, of which several versions are remembered, or a server
+// without one. It forgets what is older than HistoryRetention.
+func (h *History) Mixed(now time.Time) []string {
+	var mixed []string
+	for service, versions := range h.lastHeard {
+		maps.DeleteFunc(versions, func(_ string, heard time.Time) bool { return now.Sub(heard) > HistoryRetention })
+		_, unknown := versions[""]
+		switch {
+		case len(versions) > 1 || unknown:
+			mixed = append(mixed, service)
+		case len(versions) == 0:
+			delete(h.lastHeard, service)
+		}
+	}
+	slices.Sort(mixed)
+	return mixed
+}
--- a/internal/versioner/versioner_test.go
+++ b/internal/versioner/versioner_test.go
@@ -28,6 +28,18 @@
 	assert.Assert(t, !table.Add(start, Origin{Stream: stream, Version: "v1"}), "a stream that cannot be taken up any more")
 }
 
+// TestVersionsAreForgotten checks how long a service counts as mixed.
+func TestVersionsAreForgotten(t *testing.T) {
+	var history History
+	history.Record("a", "v1", start)
+	history.Record("a", "v2", start.Add(time.Second))
+	history.Record("a", "v1", start.Add(-time.Second))
+	history.Record("b", "v1", start)
+	history.Record("c", "", start)
+	assert.DeepEqual(t, history.Mixed(start.Add(HistoryRetention)), []string{"a", "c"})
+	assert.Equal(t, len(history.Mixed(start.Add(HistoryRetention+1))), 0)
+}
+
 // TestOriginsAreBounded has 3,400 streams a second begin for five minutes, each of which may
 // be taken up for 35 seconds: the table holds them all and no more.
 func TestOriginsAreBounded(t *testing.T) {
