follower, forwarder: an answer that waited for an instance that stood still is not new

An instance that was suspended, or stood still, took the servers of its tables for those of now as soon as an old answer was read from its socket; a suspension it did not count at all. A server that had started again under its name with another version was then taken for its predecessor: a stream was taken up there, and one that began there was recorded with the version before, for everybody.

What is known of the servers now has the age of the earliest time at which a control instance may have given the answer, by the larger of the steady clock and the time of day.

--- a/internal/controller/watch.go
+++ b/internal/controller/watch.go
@@ -113,10 +113,10 @@
 		c.mu.Lock()
 		changed := c.changed
 		c.mu.Unlock()
-		confirmed := c.group.Status().Confirmed // before the state is read, which may only be newer
+		confirmed, held := c.group.Status().Confirmed, time.Since(received) // before the state is read, which may only be newer
 		answer, hasChanges := c.changesSince(query)
 		if hasChanges || ctx.Err() != nil {
-			answer.StateAge, answer.Held = stateAge(confirmed), time.Since(received)
+			answer.StateAge, answer.Held = stateAge(confirmed), held
 			return answer, nil
 		}
 		select {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -108,8 +108,11 @@
 	// quarantineRevision is the revision of the prompt parts plus 1; 0 at first.
 	quarantineRevision uint64
 	lastAnswer         time.Time
-	reportsByServer    map[string]serverReport
-	cancel             func()
+	// serversAsOf is the earliest time at which its last answer may have been given. The
+	// answer may have arrived long after that, if this instance stood still.
+	serversAsOf     time.Time
+	reportsByServer map[string]serverReport
+	cancel          func()
 	// region is where the control instance runs; empty until its first answer.
 	region string
 	// listed holds the names of the entry instances that it lists.
--- a/internal/follower/origins.go
+++ b/internal/follower/origins.go
@@ -87,13 +87,14 @@
 	f.originsRestarted = f.originsRestarted || answer.Epoch != watch.epoch
 }
 
-// VersionsAge returns how long ago a control instance last answered.
+// VersionsAge returns how long ago a control instance last told which servers there are. It
+// grows while this instance stands still or is suspended.
 func (f *Follower) VersionsAge() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, age := time.Now(), time.Duration(math.MaxInt64)
 	for _, watch := range f.controlWatches {
-		age = min(age, now.Sub(watch.lastAnswer))
+		age = min(age, conductor.Elapsed(watch.serversAsOf, now))
 	}
 	return age
 }
--- a/internal/follower/origins_test.go
+++ b/internal/follower/origins_test.go
@@ -104,5 +104,7 @@
 	f.controlWatches["north"] = north
 	f.receiveReports(time.Now(), north, second)
 	assert.Assert(t, f.hasOtherVersion("s", "v1"))
+	assert.Assert(t, f.VersionsAge() > time.Hour, "no watch has been answered")
+	north.serversAsOf = time.Now()
 	assert.Assert(t, f.VersionsAge() < time.Second)
 }
--- a/internal/follower/outofstep_test.go
+++ b/internal/follower/outofstep_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,46 @@
 	go func() { assert.Check(t, messenger.NewPlainServer(listener, mux).Run(t.Context())) }()
 }
 
+// TestAnswerThatWaitedCountsAsNew guards against an instance that stood still, or was
+// suspended, while an answer waited for it, and then takes the servers that it names for
+// those of now.
+func TestAnswerThatWaitedCountsAsNew(t *testing.T) {
+	const waited, slack = 600 * time.Millisecond, 300 * time.Millisecond
+	for _, test := range []struct {
+		name      string
+		held      time.Duration // what the control instance says it has held the question
+		least, to time.Duration
+	}{
+		{"waited on its way", 0, waited, waited + slack},
+		{"held until there was something to say", waited, 0, slack},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			mux := &messenger.Mux{}
+			gates := []certifier.Role{certifier.RoleGate}
+			var answered atomic.Bool
+			messenger.Handle(mux, controller.MethodWatch, gates, func(ctx context.Context, _ certifier.Identity, _ controller.WatchQuery) (controller.WatchAnswer, error) {
+				if answered.Swap(true) {
+					<-ctx.Done()
+				}
+				time.Sleep(waited)
+				return controller.WatchAnswer{Epoch: 1, Region: "north", Held: test.held}, nil
+			})
+			seed := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 186, byte(os.Getpid()), 10}), 7600)
+			listener, err := net.Listen("tcp4", seed.String())
+			assert.NilError(t, err)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go func() { assert.Check(t, messenger.NewPlainServer(listener, mux).Run(ctx)) }()
+			f := startFollower(t, []netip.AddrPort{seed}, &narrowLink{bytesPerSecond: 1e9})
+			age := f.VersionsAge()
+			for ; age >= controlContactTimeout; age = f.VersionsAge() {
+				time.Sleep(time.Millisecond)
+			}
+			assert.Assert(t, age >= test.least && age < test.to, "%s", age)
+		})
+	}
+}
+
 // TestSoleVersionOfControlInstanceOutOfStep takes up a stream that began at a version which
 // one control instance has not heard of, since it was cut off or stood still.
 func TestSoleVersionOfControlInstanceOutOfStep(t *testing.T) {
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -214,7 +214,8 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	watch.lastAnswer, watch.region, watch.index = now, answer.Region, answer.Index
-	f.confirmNewest(sent.Add(answer.Held - answer.StateAge))
+	watch.serversAsOf = sent.Add(answer.Held)
+	f.confirmNewest(watch.serversAsOf.Add(-answer.StateAge))
 	if len(f.newer) > 0 && answer.Index > f.stateIndex {
 		f.requestFetch() // there may have been no source before, as while a control instance restarts
 	}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -102,7 +102,7 @@
 	}
 	record.server, record.serverVersion = decision.Server.Name, decision.Server.Version
 	out.offeredToServer = true
-	out.attemptVersion = decision.Server.Version
+	out.attemptVersion = f.currentVersion(decision)
 	return f.sendToServer(ctx, out, id, decision)
 }
 
--- a/internal/forwarder/version.go
+++ b/internal/forwarder/version.go
@@ -79,6 +79,15 @@
 	return nil
 }
 
+// currentVersion returns the version of the server of a placement, or an empty string if
+// the server may have started again with another one since it was heard.
+func (f *Forwarder) currentVersion(decision placer.Decision) string {
+	if f.origins != nil && f.origins.VersionsAge() > maxVersionsAge {
+		return ""
+	}
+	return decision.Server.Version
+}
+
 // mayGoOn reports whether a stream that has begun here may go on at some server: the version
 // that began it is known, and so are those of the servers.
 func (f *Forwarder) mayGoOn(out *callerResponse) bool {
