forwarder, placer: a stream goes on with the work that is left of it

Callers took streams up and were refused as overloaded, though servers of the version had room. The placer predicted the time for all of the output again, also of a stream of which most was there: with a few seconds left until the deadline it overran, and the overrun counted as a wait. What is there is now read like a prompt and taken off the output, for streams taken up and resumed.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -58,7 +58,7 @@
 			}
 		}
 		request.ID = f.lastPlacementID.Add(1)
-		request.Resuming = out.streamStarted
+		request.Resuming, request.Work = out.streamStarted, out.remainingWork()
 		var decision placer.Decision
 		f.waitWhileStarting(ctx, func() bool {
 			decision = f.placeAtVersion(out, &request)
--- a/internal/forwarder/version.go
+++ b/internal/forwarder/version.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/boragehead/boragehead/internal/placer"
@@ -47,6 +48,16 @@
 	return call.LastEventID != "" && call.Route.Resumable
 }
 
+// remainingWork returns the work of a call after the last event that its caller has.
+func (r *callerResponse) remainingWork() placer.Work {
+	engine := r.call.Service.Engine
+	events, err := strconv.ParseInt(r.lastEventID, 10, 64)
+	if engine == nil || err != nil {
+		return r.call.Work // all of it; ids that are not numbers do not tell how much is there
+	}
+	return r.call.Work.Remaining(events * int64(engine.EventTokens))
+}
+
 // streamName returns the id of the call that began the stream of this one.
 func (call *Call) streamName() string {
 	if call.takesUp() && call.Resumes != "" {
--- a/internal/forwarder/version_test.go
+++ b/internal/forwarder/version_test.go
@@ -201,6 +201,28 @@
 	}
 }
 
+// TestStreamGoesOnWithWorkOfNewOne guards against streams that are refused since all of their
+// output would not end in time, though most of it is there.
+func TestStreamGoesOnWithWorkOfNewOne(t *testing.T) {
+	work := placer.Work{Prompt: 100, Output: 1000, Expected: 300}
+	service := &definer.Service{Engine: &definer.Engine{EventTokens: 5}}
+	for _, test := range []struct {
+		name, after string
+		service     *definer.Service
+		want        placer.Work
+	}{
+		{"new", "", service, work},
+		{"after 20 events", "20", service, placer.Work{Prompt: 200, Output: 900, Expected: 200}},
+		{"after an event without a number", "x20", service, work},
+		{"no engines", "20", &definer.Service{}, work},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			out := &callerResponse{call: &Call{Service: test.service, Work: work}, lastEventID: test.after}
+			assert.DeepEqual(t, out.remainingWork(), test.want)
+		})
+	}
+}
+
 // TestVersionIsNotTakenFromServersHeader guards against a server's own header that looks
 // like that of an instance.
 func TestVersionIsNotTakenFromServersHeader(t *testing.T) {
--- a/internal/placer/work.go
+++ b/internal/placer/work.go
@@ -29,6 +29,20 @@
 	return float64(w.Prompt + w.Output)
 }
 
+// Remaining returns the work of going on with a request after a part of its output, in
+// tokens: the part is read like a prompt, and is not produced again.
+func (w Work) Remaining(produced int64) Work {
+	if produced = min(produced, w.Output); produced <= 0 {
+		return w
+	}
+	w.Prompt += produced
+	w.Output -= produced
+	if w.Expected > 0 {
+		w.Expected = max(w.Expected-produced, 1)
+	}
+	return w
+}
+
 // expectedOutput returns the expected size of the output in tokens. Without a
 // usable hint that is the limit.
 func (w Work) expectedOutput() int64 {
