placer, forwarder: a stream that is taken up waits for longer than a new request before it is refused

Callers that lost their instance took their streams up at others and were refused as overloaded, while more than half of the new requests began: only a stream that the instance itself resumes was told from a new request (Request.Resuming), and not one that a caller takes up or another region resumes. It had to begin within its objective again, and to end before the deadline by a prediction that is far off while many prompts come at once.

Such a request may now wait for three times its objective, has the whole share of a server's limit and is not kept from the reserved server. A predicted end after the deadline does not count against it. There is still a limit: TestLastServerOfVersionIsNotOverloaded now takes streams up as callers do. TestStreamTakenUpIsRefusedLikeNewOne: 0 were taken up before.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -113,7 +113,7 @@
 	}
 	return placer.Request{
 		Service: call.Service, Work: call.Work, Objective: objective, Deadline: call.Deadline,
-		LocalOnly: call.Relayed, Urgency: call.Route.Priority,
+		LocalOnly: call.Relayed, Urgency: call.Route.Priority, TakesUp: call.takesUp(),
 	}
 }
 
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -82,7 +82,7 @@
 		}
 		count++
 		option := p.evaluate(now, s, request, basis)
-		if s == basis.reserved && !request.Resuming && s.withheldFrom(request.Work, request.Work.Prompt-option.cachedTokens) {
+		if s == basis.reserved && !request.goesOn() && s.withheldFrom(request.Work, request.Work.Prompt-option.cachedTokens) {
 			fallback = option // used if no other server is eligible
 			continue
 		}
@@ -153,9 +153,8 @@
 		option.wait += memoryFullPenalty
 	}
 	option.completion = option.wait + s.outputTime(now, request.Work)
-	if overrun := option.completion - request.Deadline.Sub(now); overrun > 0 {
-		option.wait += overrun
-	}
+	option.overrun = max(option.completion-request.Deadline.Sub(now), 0)
+	option.wait += option.overrun
 	return option
 }
 
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -77,7 +77,7 @@
 
 // isUrgent reports whether a request may use the whole share of a limit.
 func (r Request) isUrgent() bool {
-	return r.Urgency == 0 || r.Resuming
+	return r.Urgency == 0 || r.goesOn()
 }
 
 // limitedServers returns the servers that could serve a request but for their limits.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -54,6 +54,15 @@
 	// resumes it. Such a request is never refused because of load: it is placed as
 	// long as any server or region can serve it.
 	Resuming bool
+	// TakesUp means that a part of a stream has reached the caller in an answer of another
+	// instance, or in another region's part of this one. The request may wait for longer
+	// than a new one, since its first event was in time, but not without a limit.
+	TakesUp bool
+}
+
+// goesOn reports whether the request goes on with a stream.
+func (r Request) goesOn() bool {
+	return r.Resuming || r.TakesUp
 }
 
 // mayRunIn reports whether a region may serve the request.
@@ -203,22 +212,27 @@
 // excessWait returns by how much the predicted wait exceeds the longest acceptable
 // one, and at least minRetryAfter, or 0 if it does not exceed it. The time to
 // prefill the request's own prompt is not counted against it: a long prompt that
-// meets no queue is served even if its objective is missed.
+// meets no queue is served even if its objective is missed. Nor is an end after the
+// deadline counted against a stream that is taken up: the prediction may be wrong, and
+// what its caller has is lost if it is refused.
 func excessWait(now time.Time, request Request, best candidate) time.Duration {
 	if request.Resuming {
 		return 0
 	}
 	timeLeft := request.Objective.Sub(now)
-	waitFactor := urgentWaitFactor
-	if request.Urgency > 0 {
+	waitFactor, wait := urgentWaitFactor, best.wait
+	switch {
+	case request.TakesUp:
+		waitFactor, wait = takeUpWaitFactor, best.wait-best.overrun
+	case request.Urgency > 0:
 		waitFactor = lessUrgentWaitFactor
 	}
 	maxWait := max(time.Duration(float64(timeLeft)*waitFactor), best.ownPrefill+time.Duration(float64(timeLeft)*queueWaitShare))
 	maxWait = min(maxWait, request.Deadline.Sub(now))
-	if best.wait <= maxWait {
+	if wait <= maxWait {
 		return 0
 	}
-	return max(best.wait-maxWait, minRetryAfter)
+	return max(wait-maxWait, minRetryAfter)
 }
 
 // Limits of the predicted wait and of retries.
@@ -235,6 +249,9 @@
 	// engines stay short: long answers are slow while many prompts are prefilled.
 	urgentWaitFactor     = 1.1
 	lessUrgentWaitFactor = 0.75
+	// takeUpWaitFactor is the same for streams that are taken up, whose callers wait for
+	// four times the objective for an event.
+	takeUpWaitFactor = 3.0
 	// queueWaitShare is the share of the time to the objective that other work on
 	// the server may take if the request's own prefill alone takes too long.
 	queueWaitShare = 0.25
@@ -261,6 +278,8 @@
 	// prefilled. completion is the predicted time to the last event.
 	ownPrefill time.Duration
 	completion time.Duration
+	// overrun is the part of the wait that stands for an end after the deadline.
+	overrun time.Duration
 }
 
 // assign places a request on the server of a candidate and counts it as load there.
--- a/internal/placer/region.go
+++ b/internal/placer/region.go
@@ -71,11 +71,10 @@
 		ownPrefill := prefillTime(request.Work.Prompt-sharedTokens(request.Work.Parts), 1)
 		wait := remote.MinWait + regionRoundTrip + ownPrefill
 		completion := wait + time.Duration(request.Work.expectedOutput())*remote.MinTokenTime
-		if overrun := completion - request.Deadline.Sub(now); overrun > 0 {
-			wait += overrun
-		}
+		overrun := max(completion-request.Deadline.Sub(now), 0)
+		wait += overrun
 		if !found || wait < best.wait || wait == best.wait && region < best.region {
-			best, found = candidate{region: region, wait: wait, ownPrefill: ownPrefill, completion: completion}, true
+			best, found = candidate{region: region, wait: wait, ownPrefill: ownPrefill, completion: completion, overrun: overrun}, true
 		}
 	}
 	return best, found
--- a/internal/placer/version_test.go
+++ b/internal/placer/version_test.go
@@ -69,7 +69,7 @@
 	placed, refused := 0, 0
 	for subject := range uint64(200) {
 		request := sharedPromptRequest(start, subject)
-		request.Version = "v1"
+		request.Version, request.TakesUp = "v1", true
 		switch decision := p.Place(start, request); {
 		case decision.Server != nil:
 			assert.Equal(t, decision.Server.Version, "v1")
@@ -83,6 +83,37 @@
 	assert.Assert(t, placed >= 1 && placed <= 64 && refused > 0, "%d placed, %d refused", placed, refused)
 }
 
+// TestStreamTakenUpIsRefusedLikeNewOne fills the only server until new requests are refused.
+// A stream that is taken up has had its first event, and is lost if it is refused: it may
+// wait longer, but not without a limit, and a prediction that it ends late is no reason.
+func TestStreamTakenUpIsRefusedLikeNewOne(t *testing.T) {
+	p := newVersionedPlacer("v1")
+	request := func(takesUp bool, left time.Duration) Request {
+		request := sharedPromptRequest(start, lastID)
+		request.Deadline = start.Add(left)
+		request.TakesUp = takesUp
+		if takesUp {
+			request.Version = "v1"
+		}
+		return request
+	}
+	for p.Place(start, request(false, 5*time.Second)).Server != nil {
+		assert.Assert(t, lastID < 1<<20)
+	}
+	takenUp := 0
+	for p.Place(start, request(true, 5*time.Second)).Server != nil {
+		takenUp++
+	}
+	assert.Assert(t, takenUp > 0 && takenUp < 64, "%d taken up", takenUp)
+
+	p = newVersionedPlacer("v1")
+	long := request(false, 5*time.Second)
+	long.Work.Output, long.Work.Expected = 1<<20, 0
+	assert.Equal(t, p.Place(start, long).RefusalReason, ReasonOverloaded)
+	long.TakesUp = true
+	assert.Assert(t, p.Place(start, long).Server != nil)
+}
+
 // TestSummaryNamesVersions checks what other regions are told.
 func TestSummaryNamesVersions(t *testing.T) {
 	p := newVersionedPlacer("v1", "v2", "v2", "")
