controller: a control instance that knows no group names no sole version

One that has never reached the others, as behind a cut at its start, knew no control instance that would have to agree, and called a service uniform by its own table after 5.8 s. TestControlInstanceOutsideGroupNamesSoleVersion failed before.

--- a/internal/controller/origins.go
+++ b/internal/controller/origins.go
@@ -122,8 +122,8 @@
 // fleet: it has run for long enough and has lately exchanged tables with each of the others
 // that are members of the group or were heard. c.mu must be held.
 func (c *Controller) hearsAllServers(now time.Time, members []string) bool {
-	if now.Sub(time.Unix(0, c.epoch)) < versionsSettledAfter {
-		return false
+	if now.Sub(time.Unix(0, c.epoch)) < versionsSettledAfter || len(members) == 0 {
+		return false // without the group it does not know the others
 	}
 	self := c.settings.PeerAddress.String()
 	controls := c.hearingControls(members)
--- a/internal/controller/origins_test.go
+++ b/internal/controller/origins_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/registrar"
 	"github.com/boragehead/boragehead/internal/versioner"
 )
@@ -86,6 +87,21 @@
 	}
 }
 
+// TestControlInstanceOutsideGroupNamesSoleVersion guards against a control instance that has
+// never reached the others: it cannot name those that must agree.
+func TestControlInstanceOutsideGroupNamesSoleVersion(t *testing.T) {
+	t.Parallel()
+	client := messenger.NewPlainClient(certifier.Identity{Name: "control", Role: certifier.RoleKeeper})
+	address := freeAddress()
+	c, err := New(settingsOf(t, address, nil), decode, client)
+	assert.NilError(t, err)
+	c.settle()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Assert(t, !c.hearsAllServers(time.Now(), nil))
+	assert.Assert(t, c.hearsAllServers(time.Now(), []string{address.String()}))
+}
+
 // TestOriginIsKnownToAllControlInstances reports the origin of a stream to one control
 // instance, and asks the others after it has ended.
 func TestOriginIsKnownToAllControlInstances(t *testing.T) {
