--- a/internal/follower/origins.go
+++ b/internal/follower/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -18,8 +19,10 @@
 
 // Timing of the origins of streams.
 const (
-	// originInterval is how long origins are batched before they are reported.
-	originInterval = 100 * time.Millisecond
+	// originInterval is how long origins are batched before they are reported, and
+	// largeFleetOriginInterval the same in large fleets while all services have one version.
+	originInterval           = 100 * time.Millisecond
+	largeFleetOriginInterval = 500 * time.Millisecond
 	// originTimeout bounds one report to a control instance, and askTimeout the questions
 	// for one stream: its caller waits for it.
 	originTimeout = 500 * time.Millisecond
@@ -38,33 +41,21 @@
 // instances must still be told of. Its lock may be taken while f.mu is held, but not the
 // other way round.
 type origins struct {
-	mu      sync.Mutex
-	table   versioner.Table
-	pending []versioner.Origin
-	// uniform holds whether all control instances in contact knew a service to have one
-	// version, when its origins were last reported.
-	uniform map[string]bool
-	// services holds the names of the services of the streams in the table, by their hash.
-	services map[uint64]string
+	mu         sync.Mutex
+	table      versioner.Table
+	pending    []versioner.Origin
+	lastReport time.Time
 }
 
 // RecordOrigin records by which version of a service the stream began that a request
-// brought the first event of. The control instances are told unless the service has had one
-// version for long.
-func (f *Follower) RecordOrigin(request, service, version string, left time.Duration) {
+// brought the first event of. The control instances are told also of streams of services
+// with one version: another one may have appeared where they cannot hear of it.
+func (f *Follower) RecordOrigin(request, version string, left time.Duration) {
 	o := &f.origins
-	origin := versioner.Origin{Stream: versioner.NewStreamID(request), Version: version, Service: versioner.HashService(service), Left: left}
-	isUniform := f.isUniform(time.Now(), service)
+	origin := versioner.Origin{Stream: versioner.NewStreamID(request), Version: version, Left: left}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.table.Add(time.Now(), origin) {
-		return
-	}
-	if o.services == nil {
-		o.services = map[uint64]string{}
-	}
-	o.services[origin.Service] = service
-	if !isUniform {
+	if o.table.Add(time.Now(), origin) {
 		o.addPending([]versioner.Origin{origin})
 	}
 }
@@ -74,16 +65,15 @@
 	o.pending = append(o.pending, origins[:min(len(origins), max(maxPendingOrigins-len(o.pending), 0))]...)
 }
 
-// isUniform reports whether a service is known to have had one version for long.
-func (f *Follower) isUniform(now time.Time, service string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// allUniform reports whether all services are known to have had one version for long.
+// f.mu must be held.
+func (f *Follower) allUniform(now time.Time) bool {
 	answered := false
 	for _, watch := range f.controlWatches {
 		if now.Sub(watch.lastAnswer) > maxVersionAge {
 			continue
 		}
-		if watch.mixed == nil || watch.mixed.All || slices.Contains(watch.mixed.Names, service) {
+		if watch.mixed == nil || watch.mixed.All || len(watch.mixed.Names) > 0 {
 			return false
 		}
 		answered = true
@@ -97,17 +87,16 @@
 	f.originsRestarted = f.originsRestarted || answer.Epoch != watch.epoch
 }
 
-// VersionsCurrent reports whether a control instance has answered lately.
-func (f *Follower) VersionsCurrent() bool {
+// VersionsAge returns how long ago a control instance last told which servers there are. It
+// grows while this instance stands still or is suspended.
+func (f *Follower) VersionsAge() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now, age := time.Now(), time.Duration(math.MaxInt64)
 	for _, watch := range f.controlWatches {
-		if now.Sub(watch.lastAnswer) <= maxVersionAge {
-			return true
-		}
+		age = min(age, conductor.Elapsed(watch.serversAsOf, now))
 	}
-	return false
+	return age
 }
 
 // ReportOrigins reports the origins of streams to a control instance until the context
@@ -131,36 +120,29 @@
 	})
 }
 
-// dueOrigins returns the origins to report: the pending ones, all of a service that has got
-// a second version, and all once a control instance has started anew.
+// dueOrigins returns the origins to report: the pending ones, and all once a control
+// instance has started anew.
 func (f *Follower) dueOrigins(now time.Time) []versioner.Origin {
 	f.mu.Lock()
 	restarted := f.originsRestarted
 	f.originsRestarted = false
+	interval := originInterval
+	if f.isLargeFleet() && f.allUniform(now) {
+		interval = largeFleetOriginInterval
+	}
 	f.mu.Unlock()
 	o := &f.origins
 	o.mu.Lock()
-	services := make(map[uint64]string, len(o.services))
-	for hash, name := range o.services {
-		services[hash] = name
-	}
-	o.mu.Unlock()
-	uniform := map[string]bool{}
-	for _, name := range services {
-		uniform[name] = f.isUniform(now, name)
-	}
-	o.mu.Lock()
 	defer o.mu.Unlock()
-	due := o.pending
-	o.pending = nil
-	for hash, name := range services {
-		if wasUniform, known := o.uniform[name]; !uniform[name] && (restarted || wasUniform || !known) {
-			due = slices.DeleteFunc(due, func(pending versioner.Origin) bool { return pending.Service == hash })
-			due = append(due, o.table.OfService(now, hash)...)
-		}
+	switch {
+	case restarted:
+		o.pending = o.table.All(now)
+	case now.Sub(o.lastReport) < interval:
+		return nil
 	}
-	o.uniform = uniform
-	return due[:min(len(due), maxPendingOrigins)]
+	due := o.pending[:min(len(o.pending), maxPendingOrigins)]
+	o.pending, o.lastReport = nil, now
+	return due
 }
 
 // sendOrigins reports origins to one control instance, of this region if one confirms it,
@@ -191,47 +173,83 @@
 	return messenger.Call[Q, A](ctx, f.client, messenger.Endpoint{Name: address, Address: parsed}, method, query)
 }
 
-// Origin returns the version by which the stream of a request began, or false if neither
-// this instance nor a control instance in reach knows it.
-func (f *Follower) Origin(ctx context.Context, request, service string) (string, bool) {
+// Origin returns the version by which the stream of a request began and how that was
+// found: versioner.SourceUnknown if neither this instance nor a control instance in reach
+// knows it.
+func (f *Follower) Origin(ctx context.Context, request, service string) (string, versioner.Source) {
 	stream := versioner.NewStreamID(request)
 	f.origins.mu.Lock()
 	version, known := f.origins.table.Version(time.Now(), stream)
 	f.origins.mu.Unlock()
 	if known {
-		return version, true
+		return version, versioner.SourceOwn
 	}
 	began := time.Now()
-	version, known = f.askOrigin(ctx, controller.OriginQuery{Stream: stream, Service: service})
-	klog.V(2).InfoS("origin of a stream", "request", request, "service", service, "version", version, "known", known, "took", time.Since(began))
-	return version, known
+	version, source := f.askOrigin(ctx, controller.OriginQuery{Stream: stream, Service: service})
+	klog.V(2).InfoS("origin of a stream", "request", request, "service", service, "version", version, "source", source, "took", time.Since(began))
+	return version, source
 }
 
-// askOrigin asks all control instances at once. What one of them knows of the stream counts
-// first, and then that the service has had one version for long.
-func (f *Follower) askOrigin(ctx context.Context, query controller.OriginQuery) (string, bool) {
+// askOrigin asks all control instances at once. What one of them was told of the stream
+// counts first, and then that all of them know one version of the service.
+func (f *Follower) askOrigin(ctx context.Context, query controller.OriginQuery) (string, versioner.Source) {
 	near, far := f.controlsByDistance()
 	addresses := slices.Concat(near, far)
-	answers := make(chan controller.OriginAnswer, len(addresses))
+	answers := make(chan originAnswer, len(addresses))
 	for _, address := range addresses {
 		go func() {
 			answer, err := askControl[controller.OriginQuery, controller.OriginAnswer](ctx, f, address, controller.MethodOrigin, query, askTimeout)
 			if err != nil {
 				klog.V(2).InfoS("cannot ask for the origin of a stream", "of", address, "err", logger.ErrorText(err))
 			}
-			answers <- answer
+			answers <- originAnswer{OriginAnswer: answer, from: address, failed: err != nil}
 		}()
 	}
+	answered := map[string]controller.OriginAnswer{}
 	for range addresses {
 		answer := <-answers
 		if answer.Version != "" {
-			return answer.Version, true
+			return answer.Version, versioner.SourceReported
+		}
+		if !answer.failed {
+			answered[answer.from] = answer.OriginAnswer
+		}
+	}
+	if sole := soleVersion(addresses, answered); sole != "" && !f.hasOtherVersion(query.Service, sole) {
+		return sole, versioner.SourceSole
+	}
+	return "", versioner.SourceUnknown
+}
+
+// originAnswer is the answer of one control instance to a question, or that it failed.
+type originAnswer struct {
+	controller.OriginAnswer
+	from   string
+	failed bool
+}
+
+// soleVersion returns the version that all control instances know as the only one of a
+// service, or an empty string if there is none or one that may know another has not
+// answered. The stream began before they were asked, so that the version of its server was
+// known to one of them.
+func soleVersion(asked []string, answered map[string]controller.OriginAnswer) string {
+	sole := ""
+	for _, answer := range answered {
+		needed := answer.Controls
+		if len(needed) == 0 { // an earlier release
+			needed = asked
+		}
+		for _, address := range needed {
+			if _, exists := answered[address]; !exists {
+				return ""
+			}
 		}
-		if answer.SoleVersion != "" && !f.hasOtherVersion(query.Service, answer.SoleVersion) {
-			return answer.SoleVersion, true
+		if answer.SoleVersion == "" || sole != "" && answer.SoleVersion != sole {
+			return ""
 		}
+		sole = answer.SoleVersion
 	}
-	return "", false
+	return sole
 }
 
 // hasOtherVersion reports whether this instance knows a server of a service with another
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -59,7 +59,7 @@
 			}
 		}
 		request.ID = f.lastPlacementID.Add(1)
-		request.Resuming = out.streamStarted
+		request.Resuming, request.Work = out.streamStarted, out.remainingWork()
 		var decision placer.Decision
 		f.waitWhileStarting(ctx, func() bool {
 			decision = f.placeAtVersion(out, &request)
@@ -101,7 +101,7 @@
 	out.call.open.enter(phaseServer)
 	record.server, record.serverVersion = decision.Server.Name, decision.Server.Version
 	out.offeredToServer = true
-	out.attemptVersion = decision.Server.Version
+	out.attemptVersion = f.currentVersion(decision)
 	return f.sendToServer(ctx, out, id, decision)
 }
 
@@ -112,7 +112,7 @@
 	}
 	return placer.Request{
 		Service: call.Service, Work: call.Work, Objective: objective, Deadline: call.Deadline,
-		LocalOnly: call.Relayed, Urgency: call.Route.Priority,
+		LocalOnly: call.Relayed, Urgency: call.Route.Priority, TakesUp: call.takesUp(),
 	}
 }
 
--- a/internal/forwarder/version.go
+++ b/internal/forwarder/version.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/boragehead/boragehead/internal/placer"
+	"github.com/boragehead/boragehead/internal/versioner"
 )
 
 // Origins knows by which software version of a service each stream began: it may go on only
@@ -13,13 +15,12 @@
 type Origins interface {
 	// RecordOrigin records the version by which the stream began that a request brought
 	// the first event of, and how long callers may take it up.
-	RecordOrigin(request, service, version string, left time.Duration)
-	// Origin returns the version by which the stream of a request began, or false if that
-	// is not known.
-	Origin(ctx context.Context, request, service string) (string, bool)
-	// VersionsCurrent reports whether what is known here of the servers is so new that a
-	// start with another version would have been heard of.
-	VersionsCurrent() bool
+	RecordOrigin(request, version string, left time.Duration)
+	// Origin returns the version by which the stream of a request began and how that was
+	// found, versioner.SourceUnknown if it was not.
+	Origin(ctx context.Context, request, service string) (string, versioner.Source)
+	// VersionsAge returns how old what is known here of the servers' versions is.
+	VersionsAge() time.Duration
 }
 
 // UseOrigins makes streams go on only at the version that began them. It must be called
@@ -37,6 +38,9 @@
 	reasonVersionUnknown = "version-unknown"
 	// versionRetryAfter is when the caller may find it known.
 	versionRetryAfter = 300 * time.Millisecond
+	// maxVersionsAge is how old what is known of the servers may be for a stream to go on:
+	// a server may start again with another version meanwhile.
+	maxVersionsAge = 3 * time.Second
 )
 
 // takesUp reports whether a call goes on with a stream that another call began.
@@ -44,6 +48,16 @@
 	return call.LastEventID != "" && call.Route.Resumable
 }
 
+// remainingWork returns the work of a call after the last event that its caller has.
+func (r *callerResponse) remainingWork() placer.Work {
+	engine := r.call.Service.Engine
+	events, err := strconv.ParseInt(r.lastEventID, 10, 64)
+	if engine == nil || err != nil {
+		return r.call.Work // all of it; ids that are not numbers do not tell how much is there
+	}
+	return r.call.Work.Remaining(events * int64(engine.EventTokens))
+}
+
 // streamName returns the id of the call that began the stream of this one.
 func (call *Call) streamName() string {
 	if call.takesUp() && call.Resumes != "" {
@@ -59,14 +73,16 @@
 	if f.origins == nil || !call.takesUp() {
 		return nil
 	}
-	known := call.streamVersion != ""
+	version, source := "", versioner.SourceUnknown
 	switch {
-	case known || call.Relayed: // the relaying instance has found it
-		out.version = call.streamVersion
-	case call.Resumes != "":
-		out.version, known = f.origins.Origin(ctx, call.Resumes, call.Service.Name)
+	case call.streamVersion != "":
+		version, source = call.streamVersion, versioner.SourceRelayed
+	case !call.Relayed && call.Resumes != "":
+		version, source = f.origins.Origin(ctx, call.Resumes, call.Service.Name)
 	}
-	if !known || out.version == "" || !f.origins.VersionsCurrent() {
+	age := f.origins.VersionsAge()
+	out.version, call.record.originSource, call.record.versionsAge = version, source, age
+	if version == "" || age > maxVersionsAge {
 		f.metrics.Count("streams-not-taken-up")
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: reasonVersionUnknown, RetryAfter: versionRetryAfter}
 	}
@@ -74,10 +90,19 @@
 	return nil
 }
 
+// currentVersion returns the version of the server of a placement, or an empty string if
+// the server may have started again with another one since it was heard.
+func (f *Forwarder) currentVersion(decision placer.Decision) string {
+	if f.origins != nil && f.origins.VersionsAge() > maxVersionsAge {
+		return ""
+	}
+	return decision.Server.Version
+}
+
 // mayGoOn reports whether a stream that has begun here may go on at some server: the version
 // that began it is known, and so are those of the servers.
 func (f *Forwarder) mayGoOn(out *callerResponse) bool {
-	if f.origins == nil || !out.streamStarted || out.version != "" && f.origins.VersionsCurrent() {
+	if f.origins == nil || !out.streamStarted || out.version != "" && f.origins.VersionsAge() <= maxVersionsAge {
 		return true
 	}
 	f.metrics.Count("streams-not-resumed")
@@ -94,7 +119,7 @@
 		return
 	}
 	left := max(time.Until(call.Deadline), time.Until(call.Arrived.Add(call.Timeout)))
-	f.origins.RecordOrigin(call.streamName(), call.Service.Name, r.version, left+originGrace)
+	f.origins.RecordOrigin(call.streamName(), r.version, left+originGrace)
 }
 
 // placeAtVersion asks for a placement. A stream does not go on at a server that has lately
--- a/internal/versioner/versioner.go
+++ b/internal/versioner/versioner.go
@@ -10,6 +10,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,21 +27,31 @@
 	return StreamID(xxhash.Sum64String(request))
 }
 
+// Source is how the version was found by which a stream began.
+type Source string
+
+// Sources of a version.
+const (
+	// SourceOwn means that the stream began at the instance itself.
+	SourceOwn Source = "own"
+	// SourceReported means that a control instance had been told of the stream.
+	SourceReported Source = "reported"
+	// SourceSole means that the service has had no other version for long.
+	SourceSole Source = "sole"
+	// SourceRelayed means that the instance was told that relayed the request.
+	SourceRelayed Source = "relayed"
+	// SourceUnknown means that the version was not found.
+	SourceUnknown Source = "unknown"
+)
+
 // Origin tells by which version a stream began, in the form in which tables exchange it.
 type Origin struct {
 	Stream  StreamID `cbor:"s"`
 	Version string   `cbor:"v"`
-	// Service is the hash of the service's name.
-	Service uint64 `cbor:"r,omitempty"`
 	// Left is how long the stream may still be taken up.
 	Left time.Duration `cbor:"l"`
 }
 
-// HashService returns the hash of a service's name in an Origin.
-func HashService(name string) uint64 {
-	return xxhash.Sum64String(name)
-}
-
 // Table holds the origins of streams. The zero value is empty. It is not safe for
 // concurrent use.
 type Table struct {
@@ -54,7 +65,6 @@
 
 type origin struct {
 	version string
-	service uint64
 	until   time.Duration
 }
 
@@ -71,7 +81,7 @@
 		version = added.Version
 		t.versions[version] = version
 	}
-	t.origins[added.Stream] = origin{version: version, service: added.Service, until: now.Sub(t.base) + added.Left}
+	t.origins[added.Stream] = origin{version: version, until: now.Sub(t.base) + added.Left}
 	return true
 }
 
@@ -84,12 +94,12 @@
 	return known.version, true
 }
 
-// OfService returns the origins of the streams of a service, in no particular order.
-func (t *Table) OfService(now time.Time, service uint64) []Origin {
-	var origins []Origin
+// All returns the origins of all streams that may still be taken up, in no particular order.
+func (t *Table) All(now time.Time) []Origin {
+	origins := make([]Origin, 0, len(t.origins))
 	for stream, known := range t.origins {
-		if left := known.until - now.Sub(t.base); known.service == service && left > 0 {
-			origins = append(origins, Origin{Stream: stream, Version: known.version, Service: service, Left: left})
+		if left := known.until - now.Sub(t.base); left > 0 {
+			origins = append(origins, Origin{Stream: stream, Version: known.version, Left: left})
 		}
 	}
 	return origins
@@ -108,3 +118,48 @@
 func (t *Table) Len() int {
 	return len(t.origins)
 }
+
+// HistoryRetention is how long a version is remembered after a server with it was last
+// heard, which is longer than streams last.
+const HistoryRetention = 2 * time.Minute
+
+// History holds which versions the servers of each service have had: a server may have
+// started again under its name with another one. The zero value is empty. It is not safe
+// for concurrent use.
+type History struct {
+	// lastHeard is keyed by service and version.
+	lastHeard map[string]map[string]time.Time
+}
+
+// Record adds the version of a server, which was heard at a time.
+func (h *History) Record(service, version string, heard time.Time) {
+	if h.lastHeard == nil {
+		h.lastHeard = map[string]map[string]time.Time{}
+	}
+	versions := h.lastHeard[service]
+	if versions == nil {
+		versions = map[string]time.Time{}
+		h.lastHeard[service] = versions
+	}
+	if heard.After(versions[version]) {
+		versions[version] = heard
+	}
+}
+
+// Mixed returns the services, sorted, of which several versions are remembered, or a server
+// without one. It forgets what is older than HistoryRetention.
+func (h *History) Mixed(now time.Time) []string {
+	var mixed []string
+	for service, versions := range h.lastHeard {
+		maps.DeleteFunc(versions, func(_ string, heard time.Time) bool { return now.Sub(heard) > HistoryRetention })
+		_, unknown := versions[""]
+		switch {
+		case len(versions) > 1 || unknown:
+			mixed = append(mixed, service)
+		case len(versions) == 0:
+			delete(h.lastHeard, service)
+		}
+	}
+	slices.Sort(mixed)
+	return mixed
+}
