conductor: a port's close does not reset a request that waits to be read

What callers saw: around a planned stop, a request on a kept connection, or on one just opened, ended in a reset when the instance got little processor time or had stood still: nothing of it had been read, so the caller cannot tell whether it ran.

Cause: closeIfUnread asked only what the process has read. A process that stood still has read nothing for a while, and its connections look idle by the clock while requests wait in their sockets. Timers run before what has arrived is read, so that the close comes first.

Evidence: TestCloseResetsRequestThatWaitsToBeRead failed before ("conn.closeIfUnread() is true").

Fix: a connection is closed only if its socket has nothing to read either, as the listener's queue is looked at before it is closed. What is there is read next, and the connection closes after its response.

Result: the test passes. A request that is still on its way at the close is reset as before; HTTP/1.1 cannot tell.

--- a/internal/conductor/connections.go
+++ b/internal/conductor/connections.go
@@ -9,7 +9,7 @@
 )
 
 // portConn is a connection that a [Listener] has accepted. It can be closed at a moment
-// when no byte of a request has been read from it.
+// when no byte of a request has been read from it or waits to be read.
 type portConn struct {
 	*net.TCPConn
 
@@ -45,12 +45,12 @@
 	c.reading = false
 }
 
-// closeIfUnread closes the connection unless bytes of a request have been read. It
-// reports whether the connection is closed.
+// closeIfUnread closes the connection unless bytes of a request have been read or wait to
+// be read. It reports whether the connection is closed.
 func (c *portConn) closeIfUnread() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reading {
+	if c.reading || isReadable(c.TCPConn) {
 		return false
 	}
 	c.closed = true
--- a/internal/conductor/listener.go
+++ b/internal/conductor/listener.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -69,15 +70,16 @@
 			return nil, err
 		}
 		// A passed deadline ends Accept without a look at the connections that wait.
-		if draining && time.Since(now) >= drainIdleTime && (!l.hasWaiting() || time.Since(drainingSince) >= drainLimit) {
+		if draining && time.Since(now) >= drainIdleTime && (!isReadable(l) || time.Since(drainingSince) >= drainLimit) {
 			return nil, l.finishDrain()
 		}
 	}
 }
 
-// hasWaiting reports whether connections wait to be accepted.
-func (l *Listener) hasWaiting() bool {
-	raw, err := l.SyscallConn()
+// isReadable reports whether connections wait to be accepted on a listener, or bytes or the
+// end of the stream to be read from a connection.
+func isReadable(socket syscall.Conn) bool {
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
