launcher: requests sent 3 s after the signal are not taken past the end of the stop

What callers saw: a stream that was sent just over 3 s after SIGTERM could be taken, and broken off at the end of the stop, by an instance that noticed the signal late. With a stop limit of 1 s all that came during the stop was taken and cut, however far its deadline was.

Cause: the instance counts 3 s from when its own shutdown begins, not from when the signal was sent, with no margin; and it slept until 3 s or until the end of the stop before it refused anything.

Evidence: by reading; the test of rejectAfter (TestStopCutsRequestSentThreeSecondsAfterSignal) fails for 3 s and for the sleep as it was.

Fix: it refuses from 2.75 s on, or from half of a shorter stop.

--- a/internal/launcher/entry_test.go
+++ b/internal/launcher/entry_test.go
@@ -39,3 +39,20 @@
 	assert.NilError(t, err)
 	assert.Assert(t, strings.HasSuffix(string(text), "complete"), "%q", text)
 }
+
+// TestStopCutsRequestSentThreeSecondsAfterSignal guards against requests that are taken
+// until the stop itself counts 3 s, or until the end of a short stop.
+func TestStopCutsRequestSentThreeSecondsAfterSignal(t *testing.T) {
+	const lateArrival, noticed = 3 * time.Second, 200 * time.Millisecond
+	cases := []struct {
+		limit, latest time.Duration
+	}{
+		{defaultStopLimit - stopReserve, lateArrival - noticed},
+		{time.Minute, lateArrival - noticed},
+		{time.Second, time.Second / 2},
+		{0, 0},
+	}
+	for _, c := range cases {
+		assert.Assert(t, rejectAfter(c.limit) <= c.latest, "limit %v: %v", c.limit, rejectAfter(c.limit))
+	}
+}
--- a/internal/launcher/stop.go
+++ b/internal/launcher/stop.go
@@ -19,8 +19,9 @@
 	// defaultStopLimit limits the whole shutdown.
 	defaultStopLimit = 8 * time.Second
 	// stopRejectAfter is when the instance begins to reject requests whose deadline is
-	// after the end of the stop.
-	stopRejectAfter = 3 * time.Second
+	// after the end of the stop. What is sent 3 s after the signal must not be cut, and the
+	// instance may notice the signal late.
+	stopRejectAfter = 2750 * time.Millisecond
 	// stopLinger is how long the instance accepts connections at least. It is
 	// longer than callers may cache a directory that still lists the instance.
 	stopLinger = 4500 * time.Millisecond
@@ -48,7 +49,7 @@
 	klog.InfoS("stopping", "active", e.forwarder.ActiveRequests())
 	e.follower.Stop()
 	e.forwarder.CloseConnections()
-	conductor.Sleep(ctx, stopRejectAfter)
+	conductor.Sleep(ctx, rejectAfter(limit))
 	e.forwarder.RefuseEndingAfter(began.Add(limit))
 	for ctx.Err() == nil && (e.forwarder.ActiveRequests() > 0 || time.Since(began) < stopLinger || !e.callerPort.AllIdle(began, stopIdleTime)) {
 		conductor.Sleep(ctx, stopPollInterval)
@@ -56,6 +57,11 @@
 	e.closePorts(ctx, began)
 }
 
+// rejectAfter returns when a stop that lasts for limit at most begins to reject requests.
+func rejectAfter(limit time.Duration) time.Duration {
+	return min(stopRejectAfter, limit/2)
+}
+
 // closePorts closes the ports of callers and relays, and reports the requests that are
 // still open when the context ends.
 func (e *Entry) closePorts(ctx context.Context, began time.Time) {
