conductor: a port does not close over waiting connections because Accept got the processor late

What callers saw: at a planned stop beside a load, connections that they had opened were reset before the instance had accepted them.

Cause: two waits against the clock of a process that gets no processor time. Drain gave up after 300 ms and let the server close the listener, and Accept gave up 150 ms after its first look, both with connections in the queue. The limit in Accept never bounded callers that dial on and on, since it began anew with each connection: it could only act when Accept was late.

Fix: new connections are kept out while a listener drains, so that the queue can only shrink. Drain waits until Accept has emptied it or the shutdown's own limit has passed. Where the kernel takes no filter, the limit of 300 ms stays.

--- a/internal/conductor/listener.go
+++ b/internal/conductor/listener.go
@@ -20,9 +20,8 @@
 	// draining listener is closed: closing a socket resets the connections that
 	// wait to be accepted.
 	drainIdleTime = 25 * time.Millisecond
-	// drainLimit bounds the draining of a listener, which ends much earlier unless new
-	// connections cannot be kept out.
-	drainLimit = 150 * time.Millisecond
+	// drainLimit bounds the draining of a listener if new connections cannot be kept out.
+	drainLimit = 300 * time.Millisecond
 )
 
 // Listener is a TCP listener that can be drained before it is closed, so that
@@ -52,14 +51,10 @@
 // Accept returns the next connection. Once the listener is drained, it blocks
 // until Close is called and returns net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
-	var drainingSince time.Time
 	for {
 		draining := l.draining.Load()
 		now := time.Now()
 		if draining {
-			if drainingSince.IsZero() {
-				drainingSince = now
-			}
 			_ = l.SetDeadline(now.Add(drainIdleTime)) // on a closed listener, Accept below fails
 		}
 		conn, err := l.AcceptTCP()
@@ -70,7 +65,7 @@
 			return nil, err
 		}
 		// A passed deadline ends Accept without a look at the connections that wait.
-		if draining && time.Since(now) >= drainIdleTime && (!isReadable(l) || time.Since(drainingSince) >= drainLimit) {
+		if draining && time.Since(now) >= drainIdleTime && !isReadable(l) {
 			return nil, l.finishDrain()
 		}
 	}
@@ -99,23 +94,34 @@
 }
 
 // Drain closes the listener when Accept has returned all connections that callers
-// have opened. Callers that connect meanwhile are refused. It waits until the listener
-// is closed, for twice drainLimit at most. Accept must be running in another goroutine.
-func (l *Listener) Drain() {
+// have opened. Callers that connect meanwhile are refused. It waits until the listener is
+// closed, or until the context has ended and drainLimit has passed; only for drainLimit if
+// new connections cannot be kept out. Accept must be running in another goroutine.
+func (l *Listener) Drain(ctx context.Context) {
 	if l.draining.Swap(true) {
 		return
 	}
-	if err := l.ignoreNewConnections(); err != nil {
-		klog.ErrorS(err, "port closes without a filter: connections that are just being opened may be reset")
+	filterErr := l.ignoreNewConnections()
+	if filterErr != nil {
+		klog.ErrorS(filterErr, "port closes without a filter: connections that are just being opened may be reset")
 	}
 	_ = l.SetDeadline(time.Now()) // wakes Accept
-	timer := time.NewTimer(2 * drainLimit)
-	defer timer.Stop()
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
+	defer cancel()
+	if !l.awaitDrained(limit) && filterErr == nil {
+		l.awaitDrained(ctx) // Accept gets the processor late
+	}
+}
+
+// awaitDrained waits until the listener is closed. It returns false if the context ends first.
+func (l *Listener) awaitDrained(ctx context.Context) bool {
 	select {
 	case <-l.drained:
 	case <-l.closed:
-	case <-timer.C:
+	case <-ctx.Done():
+		return false
 	}
+	return true
 }
 
 // Parts of a TCP header.
--- a/internal/conductor/port.go
+++ b/internal/conductor/port.go
@@ -98,7 +98,7 @@
 	p.CloseConnections()
 	defer context.AfterFunc(ctx, func() { p.endRequests(ErrStopping) })()
 	if p.Listener != nil {
-		p.Listener.Drain()
+		p.Listener.Drain(ctx)
 	}
 	minIdle = max(minIdle, minCloseIdle)
 	for ctx.Err() == nil && p.conns.CloseIdle(time.Now(), minIdle) > 0 {
