registrar: a process with a slow clock does not skip a server that another one has taken

What callers saw: nothing yet; found in review. A server whose start is within a minute ahead of the control instance's clock is taken there, and skipped by an entry instance or another control instance whose clock is behind that one's. It is skipped for good: what a watch has delivered is sent again only when the server changes.

Cause: List.Valid checked what its sender had checked by a second clock, with the tolerance of one.

Evidence: TestReaderWithSlowClockHidesServer failed before ("0 != 1").

Fix: a reader allows for its own clock's error beside that of the process that took the announcement. A start or a counter that no clocks explain is skipped as before.

--- a/internal/registrar/check_test.go
+++ b/internal/registrar/check_test.go
@@ -121,3 +121,16 @@
 		})
 	}
 }
+
+// TestReaderWithSlowClockHidesServer has a process read what another one has taken, by a
+// clock that is as far ahead as clocks may be. It is not sent again until it changes.
+func TestReaderWithSlowClockHidesServer(t *testing.T) {
+	server := soundServer("a")
+	server.StartedAtMillis = start.Add(MaxClockError).UnixMilli()
+	server.Counter = 0
+	assert.NilError(t, server.Check(start))
+	readerNow := start.Add(-MaxClockError)
+	assert.Equal(t, len(List{server}.Valid(readerNow, func(string, error) {})), 1)
+	server.StartedAtMillis = readerNow.Add(3 * MaxClockError).UnixMilli()
+	assert.Equal(t, len(List{server}.Valid(readerNow, func(string, error) {})), 0)
+}
--- a/internal/registrar/list.go
+++ b/internal/registrar/list.go
@@ -30,12 +30,13 @@
 	return nil
 }
 
-// Valid returns the entries that pass Server.Check. It calls skipped for each other one, with
-// the beginning of its name and the error.
+// Valid returns the entries that pass Server.Check by the clock of the process that has sent
+// them, which may be ahead by MaxClockError. It calls skipped for each other one, with the
+// beginning of its name and the error.
 func (l List) Valid(now time.Time, skipped func(name string, err error)) List {
 	valid := make(List, 0, len(l))
 	for _, server := range l {
-		if err := server.Check(now); err != nil {
+		if err := server.Check(now.Add(MaxClockError)); err != nil {
 			skipped(strings.ToValidUTF8(server.Name[:min(len(server.Name), MaxTextBytes)], "?"), err)
 			continue
 		}
