forwarder: a request is not lost on a connection that was closed after another's response

Callers of the next request got 502 when the connection of a response that belonged to another request was closed: net/http had put it back into its pool before, since the response had no body, and gave it to that request, which failed without a byte written.

Requests have a GetBody now, so that net/http sends them again on another connection if nothing was written to the kept one, which it knows after its writer has ended. Methods that it would also resend after a write, like GET, have none, as before.

That no request is sent again which may have run shows TestEmptyRequestRunsTwiceOnBrokenConnection, now with bodies and four methods.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -298,26 +298,30 @@
 
 // TestEmptyRequestRunsTwiceOnBrokenConnection covers a kept connection that a
 // server closes after it has run a request: net/http resends a request that has no
-// body and an idempotency key of the caller's.
+// body and an idempotency key of the caller's, or one whose body it can rewind.
 func TestEmptyRequestRunsTwiceOnBrokenConnection(t *testing.T) {
-	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key", "Other"} {
-		t.Run(name, func(t *testing.T) {
-			var runs atomic.Int32
-			g := newTestGateway(t, definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}, func(w http.ResponseWriter, r *http.Request) {
-				if runs.Add(1) == 2 {
-					panic(http.ErrAbortHandler)
-				}
-				assert.Check(t, r.Header.Get(name) == "k" && r.ContentLength == 0, "%v", r.Header)
-				respond(200, "run")(w, r)
-			})
-			status, _, err := g.do("POST", "/a", "", name, "k")
-			assert.NilError(t, err)
-			assert.Equal(t, status, 200)
-			status, _, err = g.do("POST", "/a", "", name, "k")
-			assert.NilError(t, err)
-			assert.Equal(t, status, http.StatusBadGateway)
-			assert.Equal(t, runs.Load(), int32(2))
-		})
+	for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodPut, http.MethodDelete} {
+		for _, body := range []string{"", "x"} {
+			for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key", "Other"} {
+				t.Run(method+" "+body+" "+name, func(t *testing.T) {
+					var runs atomic.Int32
+					g := newTestGateway(t, definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}, func(w http.ResponseWriter, r *http.Request) {
+						if runs.Add(1) == 2 {
+							panic(http.ErrAbortHandler)
+						}
+						assert.Check(t, r.Header.Get(name) == "k" && r.ContentLength == int64(len(body)), "%v", r.Header)
+						respond(200, "run")(w, r)
+					})
+					status, _, err := g.do(method, "/a", body, name, "k")
+					assert.NilError(t, err)
+					assert.Equal(t, status, 200)
+					status, _, err = g.do(method, "/a", body, name, "k")
+					assert.NilError(t, err)
+					assert.Equal(t, status, http.StatusBadGateway)
+					assert.Equal(t, runs.Load(), int32(2))
+				})
+			}
+		}
 	}
 }
 
--- a/internal/forwarder/repeatedrefusal_test.go
+++ b/internal/forwarder/repeatedrefusal_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -251,3 +252,27 @@
 	}
 	assert.Equal(t, <-addresses, <-addresses)
 }
+
+// TestRequestIsLostOnDiscardedConnection guards against a request that gets a connection
+// which was closed after another request's response, and fails though nothing was sent.
+func TestRequestIsLostOnDiscardedConnection(t *testing.T) {
+	var requests atomic.Int32
+	g := newTestGateway(t, definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}, func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1)%2 == 0 {
+			respond(200, "whole")(w, r)
+			return
+		}
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, refusalText(503, "other", "Content-Length: 0\r\n"))
+		_, _ = io.Copy(io.Discard, conn) // until the gateway closes it
+	})
+	for number := range 400 {
+		status, _, err := g.do("POST", "/a", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, status, []int{http.StatusBadGateway, http.StatusOK}[number%2], "request %d", number)
+	}
+}
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -161,7 +161,8 @@
 	}
 }
 
-// newOutgoingRequest returns a copy of a call's request for another host.
+// newOutgoingRequest returns a copy of a call's request for another host. The transport
+// resends it on another connection only if nothing was written to a kept one.
 func newOutgoingRequest(ctx context.Context, call *Call, host string) *http.Request {
 	in := call.Request
 	address := *in.URL
@@ -177,10 +178,16 @@
 	if _, present := header["User-Agent"]; !present {
 		header["User-Agent"] = nil // otherwise net/http sends its own
 	}
-	return (&http.Request{
+	request := (&http.Request{
 		Method: in.Method, URL: &address, Host: in.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: int64(len(call.Body)), Body: singleUseBody(call),
 	}).WithContext(ctx)
+	switch in.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace: // net/http would resend these whenever it can
+	default:
+		request.GetBody = func() (io.ReadCloser, error) { return singleUseBody(call), nil }
+	}
+	return request
 }
 
 // resendHeaders make net/http resend a request without a body by itself if a kept
