--- a/internal/conductor/port.go
+++ b/internal/conductor/port.go
@@ -100,7 +100,7 @@
 	defer context.AfterFunc(ctx, func() { p.endRequests(ErrStopping) })()
 	var draining sync.WaitGroup
 	if p.Listener != nil {
-		draining.Go(p.Listener.Drain)
+		draining.Go(func() { p.Listener.Drain(ctx) })
 	}
 	if ctx.Err() == nil {
 		draining.Wait()
