follower: reports of servers that are gone do not fill the memory

Entry instances kept the report of each start of a server, and of each odd entry, for as long as they ran, once for every control instance.

Evidence: TestReportsOfDroppedServersFillMemory failed before (two reports left, one wanted).

A server that all control instances must have dropped is forgotten. While one that is out of contact may still say that it is ready, the other reports stay, so that a server that has left does not come back when all contact is lost.

--- a/internal/follower/servers.go
+++ b/internal/follower/servers.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -18,6 +19,7 @@
 		return
 	}
 	f.merged = f.mergeInputs(now)
+	f.forgetDropped(now)
 	anyInContact := f.hasControlContact(now)
 	heard := f.heardServers(now)
 	var known []registrar.Server
@@ -72,6 +74,21 @@
 	return (reported.Silent || reported.State == registrar.StateGone) && reported.Age > registrar.Retention
 }
 
+// forgetDropped removes the reports of servers that all control instances have dropped. While
+// one that is out of contact may still say that a server is ready, the others stay: they
+// tell that it is not.
+func (f *Follower) forgetDropped(now time.Time) {
+	kept := map[string]bool{}
+	for _, watch := range f.controlWatches {
+		for name, report := range watch.reportsByServer {
+			kept[name] = kept[name] || !isDropped(report.asOf(now))
+		}
+	}
+	for _, watch := range f.controlWatches {
+		maps.DeleteFunc(watch.reportsByServer, func(name string, _ serverReport) bool { return !kept[name] })
+	}
+}
+
 // claimTrust is how long a server that started later hides one at the same address that is
 // still heard. One that has ended is silent by then, also if its last announcement was late.
 const claimTrust = 2 * registrar.SilenceTimeout
--- a/internal/follower/servers_test.go
+++ b/internal/follower/servers_test.go
@@ -105,3 +105,24 @@
 	assert.Assert(t, decision.Server != nil)
 	assert.Equal(t, decision.Server.Address, sound.Address)
 }
+
+// TestReportsOfDroppedServersFillMemory reports servers that fall silent, as odd entries do, for
+// longer than control instances keep them. A server that has left stays so as long as a control
+// instance that cannot be reached may have said otherwise.
+func TestReportsOfDroppedServersFillMemory(t *testing.T) {
+	f, north, south := newFollower(t)
+	now := time.Now()
+	left := startedServer("left", "10.0.0.1:80", 5)
+	f.receiveReports(now, south, left)
+	left.State = registrar.StateGone
+	silent := startedServer("silent", "10.0.0.2:80", 5)
+	silent.Silent = true
+	f.receiveReports(now, north, left, silent)
+	later := now.Add(registrar.Retention + time.Second)
+	north.lastAnswer = later
+	f.mergeServerReports(later)
+	assert.Equal(t, len(north.reportsByServer), 1)
+	without := later.Add(2 * controlContactTimeout)
+	f.mergeServerReports(without)
+	assert.DeepEqual(t, f.placer.ServerConditions(without), map[string]string{})
+}
