registrar, controller: the number of servers in a table is bounded

Operators would see: control and entry instances that grow with each name that a writer makes up, until their memory is over its limit.

A table holds 16384 servers.

--- a/internal/controller/servers.go
+++ b/internal/controller/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -53,10 +54,11 @@
 }
 
 // Announce records the announcement of a backend server. It returns
-// registrar.ErrStale if a newer one is known. If the server is leaving, Announce
-// returns the result of awaitPropagation instead: nil means that no entry
-// instance of the server's region will send it new requests, or that another
-// control instance will tell those that did not answer.
+// registrar.ErrStale if a newer one is known, and registrar.ErrFull if there is no
+// room. If the server is leaving, Announce returns the result of awaitPropagation
+// instead, unless there was no room: nil means that no entry instance of the server's
+// region will send it new requests, or that another control instance will tell
+// those that did not answer.
 func (c *Controller) Announce(ctx context.Context, announcement registrar.Server) error {
 	now := time.Now()
 	c.mu.Lock()
@@ -72,7 +74,7 @@
 		c.notifyWatchers()
 	}
 	c.mu.Unlock()
-	if announcement.State != registrar.StateLeaving {
+	if announcement.State != registrar.StateLeaving || errors.Is(err, registrar.ErrFull) {
 		return err
 	}
 	return c.awaitPropagation(ctx, announcement.Name)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -12,6 +12,7 @@
 
 import (
 	"errors"
+	"maps"
 	"net/netip"
 	"time"
 )
@@ -92,6 +93,20 @@
 	Retention = 2 * time.Minute
 )
 
+// Limits of a table.
+const (
+	// maxServers is far above the servers of a fleet.
+	maxServers = 1 << 14
+	// fullRetention is how long departed and silent servers stay in a full table, and
+	// fullInterval the time between two looks for them.
+	fullRetention = 15 * time.Second
+	fullInterval  = time.Second
+)
+
+// ErrFull means that a table holds as many servers as it may, and has heard all of them
+// lately.
+var ErrFull = errors.New("too many servers")
+
 // entry is a server in a table, with the time of its newest announcement and the
 // revision of its last change.
 type entry struct {
@@ -105,10 +120,13 @@
 type Table struct {
 	entries  map[string]*entry
 	revision uint64
+	// fullUntil is when a full table is looked through again.
+	fullUntil time.Time
 }
 
 // Announce applies an announcement, which was made announcement.Age before now. It
-// returns ErrStale and changes nothing if the announcement is outdated.
+// returns ErrStale and changes nothing if the announcement is outdated, and ErrFull if it is
+// that of a new server for which there is no room.
 func (t *Table) Announce(now time.Time, announcement Server) error {
 	if t.entries == nil {
 		t.entries = map[string]*entry{}
@@ -118,6 +136,9 @@
 	if exists && !announcement.Newer(known.Server) {
 		return ErrStale
 	}
+	if !exists && !t.hasRoom(now) {
+		return ErrFull
+	}
 	announcement.Age, announcement.Silent = 0, false
 	if !exists {
 		known = &entry{}
@@ -131,6 +152,20 @@
 	return nil
 }
 
+// hasRoom reports whether a server may be added. It removes servers from a full table that
+// have not been heard for fullRetention, and looks for them once per fullInterval.
+func (t *Table) hasRoom(now time.Time) bool {
+	if len(t.entries) < maxServers {
+		return true
+	}
+	if now.Before(t.fullUntil) {
+		return false
+	}
+	t.fullUntil = now.Add(fullInterval)
+	maps.DeleteFunc(t.entries, func(_ string, e *entry) bool { return now.Sub(e.lastHeard) > fullRetention })
+	return len(t.entries) < maxServers
+}
+
 // visiblyChanged reports whether two announcements of a server differ in a way that
 // matters to its users. The counter and fractions of a second of warm-up do not.
 func visiblyChanged(before, after Server) bool {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -102,6 +103,30 @@
 	assert.Equal(t, got.Address, addressA)
 }
 
+// TestManyEntriesKeepServerOut announces more entries than a table holds. Servers that go on
+// announcing themselves stay, and one that starts afterwards gets in once some are silent.
+func TestManyEntriesKeepServerOut(t *testing.T) {
+	var table Table
+	assert.NilError(t, table.Announce(start, readyServer("a", addressA, 5, 1)))
+	full := 0
+	for i := range maxServers + 100 {
+		if err := table.Announce(start, readyServer(fmt.Sprint("odd-", i), addressB, 5, 1)); err != nil {
+			assert.ErrorIs(t, err, ErrFull)
+			full++
+		}
+	}
+	assert.Equal(t, full, 101)
+	assert.Equal(t, len(table.entries), maxServers)
+	later := start.Add(fullRetention)
+	assert.NilError(t, table.Announce(later, readyServer("a", addressA, 5, 2)))
+	assert.ErrorIs(t, table.Announce(later, readyServer("b", addressB, 6, 1)), ErrFull)
+	later = later.Add(fullInterval)
+	assert.NilError(t, table.Announce(later, readyServer("b", addressB, 6, 1)))
+	assert.Equal(t, len(table.entries), 2)
+	_, known := table.Lookup(later, "a")
+	assert.Assert(t, known)
+}
+
 // TestSilence checks when a server becomes silent, stops being silent, and is
 // removed.
 func TestSilence(t *testing.T) {
