--- a/internal/forwarder/repeatedrefusal_test.go
+++ b/internal/forwarder/repeatedrefusal_test.go
@@ -1,14 +1,11 @@
 package forwarder
 
 import (
-	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +16,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/boragehead/boragehead/internal/definer"
+	"github.com/boragehead/boragehead/internal/imitator"
 	"github.com/boragehead/boragehead/internal/registrar"
 )
 
@@ -30,95 +28,27 @@
 	return fmt.Sprintf("HTTP/1.1 %d Refused\r\nNot-Run: 1\r\n%s\r\n", status, headers)
 }
 
-// repeatingServer refuses the first request on each connection and writes the refusal
-// once more when the next request comes, which it runs.
-type repeatingServer struct {
-	first, repeated string
-	// early means that it is written as soon as the head of the next request has arrived.
-	early bool
-	// pause is how long the next request runs.
-	pause time.Duration
-
-	mu   sync.Mutex
-	runs map[string]int
-	// working is how many requests run now.
-	working int
+// newRepeater returns a server that writes a refusal once more before it runs a request.
+func newRepeater(first, repeated string) *imitator.Repeater {
+	return &imitator.Repeater{
+		IDHeader: "Id", First: []string{first}, Repeated: repeated, Work: 4 * time.Second,
+		Answer: "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nContent-Length: 5\r\n\r\nwhole",
+	}
 }
 
-// start lets the server listen until the end of the test.
-func (s *repeatingServer) start(t *testing.T) netip.AddrPort {
+// startRepeater lets a server listen until the end of the test.
+func startRepeater(t *testing.T, server *imitator.Repeater) netip.AddrPort {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	var open sync.WaitGroup
+	var serving sync.WaitGroup
+	serving.Go(func() { server.Serve(listener) })
 	t.Cleanup(func() {
 		_ = listener.Close()
-		open.Wait()
-	})
-	open.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			open.Go(func() { s.serve(conn) })
-		}
+		serving.Wait()
 	})
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
-func (s *repeatingServer) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	for number := 0; ; number++ {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		if number > 0 && s.early {
-			_, _ = io.WriteString(conn, s.repeated)
-		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return
-		}
-		if number == 0 {
-			_, _ = io.WriteString(conn, strings.ReplaceAll(s.first, "ID", request.Header.Get("Id")))
-			continue
-		}
-		s.run(conn, reader, request.Header.Get("Id"))
-	}
-}
-
-// run runs a request to its end or until its connection is closed.
-func (s *repeatingServer) run(conn net.Conn, reader *bufio.Reader, id string) {
-	s.add(id, 1)
-	defer s.add("", -1)
-	if !s.early {
-		_, _ = io.WriteString(conn, s.repeated)
-	}
-	_ = conn.SetReadDeadline(time.Now().Add(s.pause))
-	if _, err := reader.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
-		return
-	}
-	_ = conn.SetReadDeadline(time.Time{})
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: 5\r\n\r\nwhole", id)
-}
-
-// add counts a request that begins to run or that ends.
-func (s *repeatingServer) add(id string, working int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.working += working
-	if working > 0 {
-		s.runs[id]++
-	}
-}
-
-func (s *repeatingServer) isIdle() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.working == 0
-}
-
 // TestEarlierRefusalIsTakenForLaterRequest guards against a server that writes a refusal
 // once more on a kept connection: its caller is told that the request has not run, or
 // another server runs it, too.
@@ -153,7 +83,8 @@
 		for _, setting := range []string{"alone", "beside a sound server", "relayed"} {
 			t.Run(test.name+", "+setting, func(t *testing.T) {
 				t.Parallel()
-				server := &repeatingServer{first: test.first, repeated: test.repeated, early: test.early, pause: 4 * time.Second, runs: map[string]int{}}
+				server := newRepeater(test.first, test.repeated)
+				server.Early = test.early
 				g, runsElsewhere := repeatingGateway(t, server, setting)
 				_, _, err := g.do("POST", "/a", "x", "Id", "r1")
 				assert.NilError(t, err)
@@ -164,7 +95,7 @@
 				assert.Assert(t, status == http.StatusBadGateway || status == http.StatusGatewayTimeout, "status %d promises something", status)
 				assert.Equal(t, runsElsewhere(), before, "the request ran at two servers")
 				poll.WaitOn(t, func(poll.LogT) poll.Result {
-					if server.isIdle() {
+					if server.Working() == 0 {
 						return poll.Success()
 					}
 					return poll.Continue("the server works on a request that nobody waits for")
@@ -174,13 +105,13 @@
 	}
 }
 
-// repeatingGateway returns a gateway in front of a repeatingServer, and a function that
+// repeatingGateway returns a gateway in front of a repeating server, and a function that
 // counts the runs at the sound server that may be beside it. The gateway relays its
 // requests to them in one setting.
-func repeatingGateway(t *testing.T, server *repeatingServer, setting string) (*testGateway, func() int32) {
+func repeatingGateway(t *testing.T, server *imitator.Repeater, setting string) (*testGateway, func() int32) {
 	route := definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1, Timeout: 2 * time.Second}
 	g := newTestGateway(t, route, respond(200, "elsewhere"))
-	g.fleet.servers = append([]registrar.Server{{Name: "repeating", Address: server.start(t)}}, g.fleet.servers...)
+	g.fleet.servers = append([]registrar.Server{{Name: "repeating", Address: startRepeater(t, server)}}, g.fleet.servers...)
 	switch setting {
 	case "alone":
 		g.fleet.servers = g.fleet.servers[:1]
@@ -196,7 +127,7 @@
 // alone: the address of a server that is listed under two names is tried twice.
 func TestRefusalIsTakenForLaterRequestAtReusedAddress(t *testing.T) {
 	refusal := refusalText(http.StatusMisdirectedRequest, "r1", "Content-Length: 0\r\n")
-	server := &repeatingServer{first: refusal, repeated: refusal, pause: 4 * time.Second, runs: map[string]int{}}
+	server := newRepeater(refusal, refusal)
 	g, runsElsewhere := repeatingGateway(t, server, "beside a sound server")
 	g.fleet.servers = append([]registrar.Server{{Name: "replaced", Address: g.fleet.servers[0].Address}}, g.fleet.servers...)
 	status, _, err := g.do("POST", "/a", "x", "Id", "r1")
@@ -210,7 +141,8 @@
 func TestRefusalWrittenTwiceAtOnce(t *testing.T) {
 	const callers, requests = 4, 100
 	refusal := refusalText(http.StatusServiceUnavailable, "", "Content-Length: 0\r\n")
-	server := &repeatingServer{first: strings.Replace(refusal, "Not-Run", "Id: ID\r\nNot-Run", 1) + refusal, pause: 0, runs: map[string]int{}}
+	server := newRepeater(strings.Replace(refusal, "Not-Run", "Id: ID\r\nNot-Run", 1)+refusal, "")
+	server.Work = 0
 	var mu sync.Mutex
 	elsewhere := map[string]int{}
 	g := newTestGateway(t, definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}, func(w http.ResponseWriter, r *http.Request) {
@@ -219,7 +151,7 @@
 		mu.Unlock()
 		respond(200, "elsewhere")(w, r)
 	})
-	g.fleet.servers = append([]registrar.Server{{Name: "repeating", Address: server.start(t)}}, g.fleet.servers...)
+	g.fleet.servers = append([]registrar.Server{{Name: "repeating", Address: startRepeater(t, server)}}, g.fleet.servers...)
 	var waiting sync.WaitGroup
 	for caller := range callers {
 		waiting.Go(func() {
@@ -233,7 +165,7 @@
 	mu.Lock()
 	defer mu.Unlock()
 	for id, count := range elsewhere {
-		assert.Check(t, count+server.runs[id] <= 1, "%s ran %d times elsewhere, %d times here", id, count, server.runs[id])
+		assert.Check(t, count+server.Runs(id) <= 1, "%s ran %d times elsewhere, %d times here", id, count, server.Runs(id))
 	}
 }
 
