sender: a request is not lost on a connection that was closed after another's response

What callers saw: 502 for a request, or a retry spent on it, because another request had got a response with an id that was not its own. Nothing of theirs had been sent.

Cause: as in the forwarder: net/http puts a connection back into its pool when a response without a body has arrived, before the sender looks at the response and closes it. The next request gets it, and could not be sent again by net/http, which had no GetBody.

Fix: as there. net/http sends a request once more only if nothing was written to the kept connection. Methods that it would also resend after a write have no GetBody, as before; headers that allow that are not forwarded.

--- a/internal/sender/attempt.go
+++ b/internal/sender/attempt.go
@@ -194,8 +194,10 @@
 	if err != nil {
 		return nil, err
 	}
-	// Without GetBody the transport cannot resend the body by itself.
-	request.GetBody = nil
+	switch x.Request.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		request.GetBody = nil // with it, the transport would resend these whenever it can
+	} // and others only if nothing was written to a kept connection
 	for _, name := range exchanger.ForwardedHeaders {
 		if value := x.Request.Header.Get(name); value != "" {
 			request.Header.Set(name, value)
