registrar: the departure of a start that nobody heard is not skipped by other processes

What callers saw: nothing yet; found in review. Its departure kept the counter of the earlier start, which Check finds impossible for the new one, so that other control instances and entry instances skipped it and went on using the server until it was silent.

Evidence: TestDepartureOfLaterStartIsSkipped failed before ("counter 216000 is more than one announcement a millisecond since the start").

Fix: the counter begins anew with the start, as it does for servers.

--- a/internal/registrar/check_test.go
+++ b/internal/registrar/check_test.go
@@ -134,3 +134,17 @@
 	server.StartedAtMillis = readerNow.Add(3 * MaxClockError).UnixMilli()
 	assert.Equal(t, len(List{server}.Valid(readerNow, func(string, error) {})), 0)
 }
+
+// TestDepartureOfLaterStartIsSkipped has a server that has run for days start again under
+// its name and leave before its first announcement: other processes must hear that.
+func TestDepartureOfLaterStartIsSkipped(t *testing.T) {
+	server := soundServer("a")
+	server.StartedAtMillis = start.Add(-72 * time.Hour).UnixMilli()
+	server.Counter = uint64((72 * time.Hour) / (1200 * time.Millisecond))
+	var table Table
+	assert.NilError(t, table.Announce(start, server))
+	table.RecordDeparture(start, server.Name, start.UnixMilli())
+	reported := List(table.Since(start, 0)).Valid(start, func(_ string, err error) { t.Error(err) })
+	assert.Equal(t, len(reported), 1)
+	assert.Equal(t, reported[0].State, StateGone)
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -198,7 +198,9 @@
 	case startedAtMillis != 0 && startedAtMillis < known.StartedAtMillis || known.State == StateGone:
 		return
 	}
-	known.StartedAtMillis = max(known.StartedAtMillis, startedAtMillis)
+	if startedAtMillis > known.StartedAtMillis {
+		known.StartedAtMillis, known.Counter = startedAtMillis, 0 // counters begin anew with each start
+	}
 	known.State = StateGone
 	known.lastHeard = now
 	t.markChanged(known)
