conductor: a response to an HTTP/1.0 caller that a stop cuts does not look complete

What callers saw: nothing reported; found in review. A stream to an HTTP/1.0 caller that reads slowly ended at the end of a stop with an orderly close, which completes a response that has no other end.

Cause: the forwarder resets such a connection when it breaks a stream off, but a handler that is blocked by a slow caller does not come to that before the server closes all connections.

Evidence: TestCutResponseToHTTP10CallerLooksComplete failed before ("expected an error, got nil").

Fix: the port knows on which connections an HTTP/1.0 request is being answered, and resets those before the server closes the others.

--- a/internal/conductor/connections.go
+++ b/internal/conductor/connections.go
@@ -17,6 +17,8 @@
 	// reading means that bytes have been read since the last response.
 	reading bool
 	closed  bool
+	// unframed means that nothing but the end of the connection ends the response.
+	unframed bool
 }
 
 func newPortConn(conn *net.TCPConn) *portConn {
@@ -42,7 +44,25 @@
 func (c *portConn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
+	c.reading, c.unframed = false, false
+}
+
+// setUnframed records that nothing but the end of the connection ends the response.
+func (c *portConn) setUnframed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unframed = true
+}
+
+// resetIfUnframed closes the connection by a reset if an orderly close would complete
+// the response.
+func (c *portConn) resetIfUnframed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unframed {
+		_ = c.SetLinger(0) // fails only if the connection is already closed
+		_ = c.Close()
+	}
 }
 
 // closeIfUnread closes the connection unless bytes of a request have been read or wait to
@@ -172,3 +192,15 @@
 	}
 	return count
 }
+
+// ResetUnframed closes the connections by a reset on which a response is being written that
+// an orderly close would complete.
+func (c *ConnTracker) ResetUnframed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.openConns {
+		if accepted := portConnOf(conn); accepted != nil {
+			accepted.resetIfUnframed()
+		}
+	}
+}
--- a/internal/conductor/port.go
+++ b/internal/conductor/port.go
@@ -54,8 +54,8 @@
 	return p, nil
 }
 
-// NewDrainableServer wraps the handler of a server and sets its ConnState and
-// BaseContext hooks. The server has no listener of its own: its connections come from a
+// NewDrainableServer wraps the handler of a server and sets its ConnState, BaseContext and
+// ConnContext hooks. The server has no listener of its own: its connections come from a
 // [Listener] that is closed elsewhere.
 func NewDrainableServer(server *http.Server) *DrainableServer {
 	p := &DrainableServer{Server: server}
@@ -63,10 +63,16 @@
 	p.endRequests = cancel
 	server.ConnState = p.conns.Track
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, portConnOf(conn))
+	}
 	server.Handler = p.closeAfterResponse(server.Handler)
 	return p
 }
 
+// connKey is the key of a request's *portConn in its context.
+type connKey struct{}
+
 // CloseConnections makes every further response ask the caller to close its
 // connection.
 func (p *DrainableServer) CloseConnections() {
@@ -78,6 +84,9 @@
 		if p.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		if conn, _ := r.Context().Value(connKey{}).(*portConn); conn != nil && !r.ProtoAtLeast(1, 1) {
+			conn.setUnframed()
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
@@ -116,6 +125,7 @@
 	}
 	draining.Wait()
 	cut := p.conns.Active()
+	p.conns.ResetUnframed()
 	if err := p.Server.Close(); err != nil {
 		return trace.Wrap(err)
 	}
