conductor: new connections are kept out only in the last moments of a drain

The filter was attached when the drain began.

It is attached now when no connection has come for 25 ms, or after 100 ms of connections that go on coming, and the socket closes 5 ms later, once the queue is empty. Until then callers are accepted and answered.

--- a/internal/conductor/listener.go
+++ b/internal/conductor/listener.go
@@ -20,8 +20,14 @@
 	// draining listener is closed: closing a socket resets the connections that
 	// wait to be accepted.
 	drainIdleTime = 25 * time.Millisecond
-	// drainLimit bounds the draining of a listener if new connections cannot be kept out.
-	drainLimit = 300 * time.Millisecond
+	// handshakeTime is how long handshakes that have begun have to end once new
+	// connections are kept out.
+	handshakeTime = 5 * time.Millisecond
+	// arrivalLimit is how long connections that go on arriving hold up a drain. After
+	// that they are kept out.
+	arrivalLimit = 100 * time.Millisecond
+	// drainLimit bounds the rest of a drain if new connections cannot be kept out.
+	drainLimit = 200 * time.Millisecond
 )
 
 // Listener is a TCP listener that can be drained before it is closed, so that
@@ -29,7 +35,12 @@
 type Listener struct {
 	*net.TCPListener
 
-	draining  atomic.Bool
+	draining atomic.Bool
+	// keptOut means that new connections were to be kept out; keepOutErr is why they are not.
+	keptOut     atomic.Bool
+	keepOutOnce sync.Once
+	keepOutErr  error
+
 	drained   chan struct{}
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -52,10 +63,14 @@
 // until Close is called and returns net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		draining := l.draining.Load()
+		draining, keptOut := l.draining.Load(), l.keptOut.Load()
+		idleTime := drainIdleTime
+		if keptOut {
+			idleTime = handshakeTime
+		}
 		now := time.Now()
 		if draining {
-			_ = l.SetDeadline(now.Add(drainIdleTime)) // on a closed listener, Accept below fails
+			_ = l.SetDeadline(now.Add(idleTime)) // on a closed listener, Accept below fails
 		}
 		conn, err := l.AcceptTCP()
 		if err == nil {
@@ -65,7 +80,10 @@
 			return nil, err
 		}
 		// A passed deadline ends Accept without a look at the connections that wait.
-		if draining && time.Since(now) >= drainIdleTime && !isReadable(l) {
+		if !draining || time.Since(now) < idleTime || isReadable(l) {
+			continue
+		}
+		if keptOut || l.keepOut() != nil {
 			return nil, l.finishDrain()
 		}
 	}
@@ -94,25 +112,31 @@
 }
 
 // Drain closes the listener when Accept has returned all connections that callers
-// have opened. Callers that connect meanwhile are refused. It waits until the listener is
-// closed, or until the context has ended and drainLimit has passed; only for drainLimit if
-// new connections cannot be kept out. Accept must be running in another goroutine.
+// have opened. Callers that connect in the last moments of it are refused. It waits until
+// the listener is closed, or until the context has ended and drainLimit has passed; only for
+// drainLimit if new connections cannot be kept out. Accept must be running in another
+// goroutine.
 func (l *Listener) Drain(ctx context.Context) {
 	if l.draining.Swap(true) {
 		return
 	}
-	filterErr := l.ignoreNewConnections()
-	if filterErr != nil {
-		klog.ErrorS(filterErr, "port closes without a filter: connections that are just being opened may be reset")
-	}
 	_ = l.SetDeadline(time.Now()) // wakes Accept
-	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
-	defer cancel()
-	if !l.awaitDrained(limit) && filterErr == nil {
+	if l.awaitDrainedFor(arrivalLimit) {
+		return
+	}
+	keepOutErr := l.keepOut()
+	if !l.awaitDrainedFor(drainLimit) && keepOutErr == nil {
 		l.awaitDrained(ctx) // Accept gets the processor late
 	}
 }
 
+// awaitDrainedFor is awaitDrained with a limit.
+func (l *Listener) awaitDrainedFor(limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return l.awaitDrained(ctx)
+}
+
 // awaitDrained waits until the listener is closed. It returns false if the context ends first.
 func (l *Listener) awaitDrained(ctx context.Context) bool {
 	select {
@@ -124,6 +148,18 @@
 	return true
 }
 
+// keepOut keeps new connections out of a draining listener.
+func (l *Listener) keepOut() error {
+	l.keepOutOnce.Do(func() {
+		l.keepOutErr = l.ignoreNewConnections()
+		if l.keepOutErr != nil {
+			klog.ErrorS(l.keepOutErr, "port closes without a filter: connections that are just being opened may be reset")
+		}
+		l.keptOut.Store(true)
+	})
+	return l.keepOutErr
+}
+
 // Parts of a TCP header.
 const (
 	tcpFlagsOffset = 13
