forwarder: the test of a stop waits until the server has the request

The phase "server" begins before the request has a connection; a stop that ends then refuses it as not run, and rightly so. The test now ends the stop once the server has read the request.

--- a/internal/forwarder/stop_test.go
+++ b/internal/forwarder/stop_test.go
@@ -100,14 +100,19 @@
 		{"body", "", http.StatusServiceUnavailable}, {"server", "0\r\n\r\n", http.StatusBadGateway},
 	} {
 		t.Run(c.phase, func(t *testing.T) {
+			reached := make(chan struct{})
 			_, f, port := newStoppableGateway(t, func(_ http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
+				close(reached)
 				<-r.Context().Done()
 			})
 			conn := writeHalfRequest(t, port)
 			_, err := io.WriteString(conn, c.rest)
 			assert.NilError(t, err)
 			waitForPhase(t, f, c.phase)
+			if c.phase == "server" {
+				<-reached // until then, the request may be refused as not run
+			}
 			ctx, cancel := context.WithCancel(t.Context())
 			cancel()
 			assert.NilError(t, port.Close(ctx, 0))
