runner: a test's process starts again only when its ports are closed

TestGracefulStopsCutNoRequest failed now and then: "bind: address already in use" for an instance that had stopped, then 503 no-server and 502 for its region's callers, as the instance was not there. The instance had closed its ports. Cause: other tests of the package start programs, and between fork and exec a child holds copies of all sockets of the test process, so that a port that was closed meanwhile still listens. Processes of a deployment start no others.

The fleet now waits until the kernel lists no listening socket on the addresses.

--- a/internal/runner/fleet_test.go
+++ b/internal/runner/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -174,7 +175,28 @@
 	})
 }
 
+// awaitClosed waits until no socket listens on the addresses. A process that another
+// test is starting holds copies of all sockets until it executes its program.
+func (f *testFleet) awaitClosed(addresses ...netip.AddrPort) {
+	const listening = "0A"
+	f.eventually("ports are closed", func() error {
+		sockets, err := os.ReadFile("/proc/net/tcp")
+		if err != nil {
+			return err
+		}
+		for _, address := range addresses {
+			ip := address.Addr().As4()
+			local := fmt.Sprintf("%08X:%04X 00000000:0000 ", binary.NativeEndian.Uint32(ip[:]), address.Port())
+			if strings.Contains(string(sockets), local+listening) {
+				return fmt.Errorf("%s is still open", address)
+			}
+		}
+		return nil
+	})
+}
+
 func (f *testFleet) startKeeper(k loader.Keeper) {
+	f.awaitClosed(k.Address, k.Operator)
 	settings := loader.KeeperProcess{
 		Place:       loader.Place{Name: k.Name, Region: k.Region, FailureDomain: f.domainOf(k.Name, k.Region)},
 		PeerAddress: k.Address, OperatorAddress: k.Operator, DataFolder: filepath.Join(f.folder, "data-"+k.Name), Keepers: f.keepers,
@@ -187,6 +209,7 @@
 
 func (f *testFleet) startGate(name string) {
 	settings := f.gates[name]
+	f.awaitClosed(settings.CallerAddress, settings.BackendAddress, settings.PeerAddress)
 	settings.Peers = f.peers
 	credentials := f.credentials(name)
 	gate := runner.NewGate(settings, credentials, messenger.WithDial(f.links.dial(name, settings.Region)))
