--- a/internal/conductor/listener.go
+++ b/internal/conductor/listener.go
@@ -92,13 +92,18 @@
 // isReadable reports whether connections wait to be accepted on a listener, or bytes or the
 // end of the stream to be read from a connection.
 func isReadable(socket syscall.Conn) bool {
+	return polls(socket, unix.POLLIN)
+}
+
+// polls reports whether one of the events of poll(2) holds for a socket, or an error.
+func polls(socket syscall.Conn, events int16) bool {
 	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
 	count := 0
 	err = raw.Control(func(descriptor uintptr) {
-		count, err = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
+		count, err = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: events}}, 0)
 	})
 	return err == nil && count > 0
 }
