forwarder, responder: a late request does not cancel those after it on its connection

Callers that keep their connections got 499 (reason caller-gone) for every further request on a connection that had carried a request without a body whose deadline had passed before readBody, as while a definition is awaited at a start; or one whose body ended within 50 ms after the 408 for it.

net/http ends the context of a connection, the parent of those of all its requests, when a read fails or times out. It reads for the next request as soon as there is no body left, so that readBody's deadline, once passed, ended it; and so does the read that ends with body-late, after which responder.Answer kept the connection if the rest came.

A request without a body now gets no read deadline. Answer closes the connection if the request's context has ended.

--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -79,6 +79,11 @@
 		return 0, &Refusal{Status: http.StatusServiceUnavailable, Reason: "memory", RetryAfter: time.Second}
 	}
 	call.open.enter(phaseBody)
+	if r.Body == http.NoBody {
+		// net/http waits for the next request already: a read deadline would end its context.
+		call.Body = []byte{}
+		return 0, nil
+	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(call.Deadline) // without support for deadlines, reads are not bounded
 	defer context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })()
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -62,6 +62,9 @@
 	if r.Header.Get("Expect") != "" {
 		return false // reading would ask the client for the body
 	}
+	if r.Context().Err() != nil {
+		return false // after a failed read, net/http ends the contexts of further requests, too
+	}
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(time.Now().Add(endWait)); err != nil {
 		return true // not a connection of net/http's server
