forwarder: a refused relay without a body keeps its connection

An instance that refused a relayed request before its body, as one that is not its home, closed the connection also if there was no body: each such relay opened a connection anew, between regions.

A body that was not looked at counted as unread. The connection is now closed only if the request has one.

TestRefusedRelayClosesConnection, three refused relays: 3 connections before in the case of a request without a body that is not at home, 1 after; the other three cases had 1 before.

--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -203,7 +203,7 @@
 	}
 	call.record.status = refusal.Status
 	f.reportCall(call, refusal)
-	if call.Body != nil {
+	if call.Body != nil || r.Body == http.NoBody {
 		writeRelayRefusal(w, call, refusal)
 		return
 	}
--- a/internal/forwarder/relay_test.go
+++ b/internal/forwarder/relay_test.go
@@ -1,11 +1,13 @@
 package forwarder
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,3 +131,39 @@
 	assert.NilError(t, err)
 	assert.Equal(t, status, 200, body)
 }
+
+// TestRefusedRelayClosesConnection relays requests that the other instance refuses. Only the
+// rest of a body may cost the connection on which it would follow.
+func TestRefusedRelayClosesConnection(t *testing.T) {
+	tests := []struct {
+		name, method, body string
+		homes              []string
+	}{
+		{"no server, no body", http.MethodGet, "", nil},
+		{"no server, empty body", http.MethodPost, "", nil},
+		{"no server", http.MethodPost, "x", nil},
+		{"not home, no body", http.MethodGet, "", []string{"east"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			remote := newTestGateway(t, definer.Route{Homes: test.homes})
+			local := newTestGateway(t, definer.Route{Homes: test.homes}, respond(http.StatusOK, "local"))
+			var connections atomic.Int32
+			relays := httptest.NewUnstartedServer(New(testDialect{}, remote.fleet, measurer.New(), retryLimit).RelayHandler())
+			relays.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+				if state == http.StateNew {
+					connections.Add(1)
+				}
+			}
+			relays.Start()
+			t.Cleanup(relays.Close)
+			local.fleet.relayRegion, local.fleet.relayAddress = "south", netip.MustParseAddrPort(relays.Listener.Addr().String())
+			for range 3 {
+				status, text, err := local.do(test.method, "/a", test.body)
+				assert.NilError(t, err)
+				assert.Equal(t, status, http.StatusOK, text)
+			}
+			assert.Equal(t, connections.Load(), int32(1))
+		})
+	}
+}
