messenger: a stop does not wait for the hello of a peer

A control instance that was stopped ran on for up to 5 s after its stop limit of 2 s if a peer had connected and sent nothing, as one that is suspended or cut off.

Run waits for all connections, and close closed only those that had said who they are; the others ended by handshakeTimeout. Connections without TLS are now tracked from the beginning.

--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -184,6 +184,11 @@
 }
 
 func (s *Server) servePlain(ctx context.Context, raw net.Conn) {
+	if !s.track(raw) {
+		_ = raw.Close()
+		return
+	}
+	defer s.untrack(raw)
 	identity, err := readHello(raw)
 	if err != nil {
 		_ = raw.Close()
--- a/internal/messenger/server_test.go
+++ b/internal/messenger/server_test.go
@@ -48,6 +48,28 @@
 	}
 }
 
+// TestServerWaitsForHelloWhenStopped has a peer connect and send nothing, as one does that
+// is suspended.
+func TestServerWaitsForHelloWhenStopped(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewPlainServer(listener, &Mux{})
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Run(ctx) }()
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	time.Sleep(50 * time.Millisecond) // it is being accepted
+	cancel()
+	select {
+	case err := <-stopped:
+		assert.NilError(t, err)
+	case <-time.After(handshakeTimeout / 2):
+		t.Fatalf("the server still runs %v after its end", handshakeTimeout/2)
+	}
+}
+
 // exhaustedListener fails once, as it does when the process has too many open files.
 type exhaustedListener struct {
 	net.Listener
