conductor: a request in a buffer is not run on a connection that was closed as idle

A request that came together with the one before it could run at a server and get no answer, if the process stood still for 50 ms between the two while its port closed.

A connection counts as idle from the response on, and a whole request may already be in net/http's buffer, which neither the flag of the connection nor its socket shows. CloseIdle closed the connection, and net/http served the request from the buffer.

A request begins under the lock under which a connection is closed. On a closed one it is not served, so that nothing of it runs and its caller may send it again; and none is closed on which one has begun.

By the width of the window this needs callers that pipeline, and was not seen on processes.

--- a/internal/conductor/connections.go
+++ b/internal/conductor/connections.go
@@ -14,7 +14,8 @@
 	*net.TCPConn
 
 	mu sync.Mutex
-	// reading means that bytes have been read since the last response.
+	// reading means that bytes have been read since the last response, or that a request is
+	// being served.
 	reading bool
 	closed  bool
 	// unframed means that nothing but the end of the connection ends the response.
@@ -40,6 +41,15 @@
 	return n, err
 }
 
+// beginRequest records that a request is about to be served. It returns false if the
+// connection is closed: the request was in a buffer then.
+func (c *portConn) beginRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	return !c.closed
+}
+
 // endRequest records that the response to a request has been written.
 func (c *portConn) endRequest() {
 	c.mu.Lock()
--- a/internal/conductor/port.go
+++ b/internal/conductor/port.go
@@ -84,8 +84,13 @@
 		if p.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		if conn, _ := r.Context().Value(connKey{}).(*portConn); conn != nil && !r.ProtoAtLeast(1, 1) {
-			conn.setUnframed()
+		if conn, _ := r.Context().Value(connKey{}).(*portConn); conn != nil {
+			if !conn.beginRequest() {
+				panic(http.ErrAbortHandler) // nobody would get the response
+			}
+			if !r.ProtoAtLeast(1, 1) {
+				conn.setUnframed()
+			}
 		}
 		handler.ServeHTTP(w, r)
 	})
--- a/internal/conductor/waitingbytes_test.go
+++ b/internal/conductor/waitingbytes_test.go
@@ -1,8 +1,13 @@
 package conductor
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,3 +36,41 @@
 	conn.endRequest()
 	assert.Assert(t, conn.closeIfUnread(), "with nothing left to read")
 }
+
+// TestRequestIsRunOnClosedConnection has a process stand still between two requests that came
+// together: the second one waits in net/http's buffer, where the close of the idle connection
+// does not see it.
+func TestRequestIsRunOnClosedConnection(t *testing.T) {
+	var served atomic.Int32
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }), ReadHeaderTimeout: time.Minute}
+	port, err := NewPort(server, "127.0.0.1:0")
+	assert.NilError(t, err)
+	idle, goOn := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		port.conns.Track(conn, state)
+		if state == http.StateIdle {
+			once.Do(func() {
+				close(idle)
+				<-goOn
+			})
+		}
+	}
+	go func() { _ = server.Serve(port.Listener) }() // returns when the server is closed
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", port.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	_, err = io.WriteString(conn, strings.Repeat("GET / HTTP/1.1\r\nHost: test\r\n\r\n", 2))
+	assert.NilError(t, err)
+	<-idle
+	time.Sleep(minCloseIdle)
+	assert.Equal(t, port.conns.CloseIdle(time.Now(), minCloseIdle), 0)
+	close(goOn)
+	readResponse(t, reader)
+	_, err = reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	time.Sleep(minCloseIdle)
+	assert.Equal(t, served.Load(), int32(1))
+}
