conductor: an error of a listener ends no server

The messenger's server goes on after an error of its listener; those of net/http still ended at each error that is neither "too many open files" nor an interruption, as a lack of memory for sockets or an error of the network that accept returns on Linux. With the server, all tasks of the process ended, and all its requests were cut.

Listener.Accept marks such errors as temporary, so that net/http logs them and tries again within a second. A closed listener ends its server as before.

Such an error was not seen on processes.

--- a/internal/conductor/listener.go
+++ b/internal/conductor/listener.go
@@ -59,6 +59,19 @@
 	}, nil
 }
 
+// acceptError is an error of an open listener. Servers of net/http end at most of them, such
+// as a lack of memory for sockets, unless they are temporary.
+type acceptError struct{ error }
+
+// Unwrap returns the listener's own error.
+func (e acceptError) Unwrap() error { return e.error }
+
+// Timeout implements net.Error.
+func (e acceptError) Timeout() bool { return false }
+
+// Temporary implements net.Error.
+func (e acceptError) Temporary() bool { return true }
+
 // Accept returns the next connection. Once the listener is drained, it blocks
 // until Close is called and returns net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -76,8 +89,11 @@
 		if err == nil {
 			return newPortConn(conn), nil
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return nil, err
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, acceptError{err}
 		}
 		// A passed deadline ends Accept without a look at the connections that wait.
 		if !draining || time.Since(now) < idleTime || isReadable(l) {
--- a/internal/conductor/listener_test.go
+++ b/internal/conductor/listener_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -52,3 +54,26 @@
 	assert.Assert(t, errors.Is(err, net.ErrClosed))
 	assert.NilError(t, listener.Close())
 }
+
+// TestFailedAcceptEndsServer has a listener fail with an error that net/http does not take for a
+// temporary one, as the network's errors on Linux and a lack of memory for sockets: the process
+// would end with its server, and all requests with it.
+func TestFailedAcceptEndsServer(t *testing.T) {
+	server := &http.Server{ReadHeaderTimeout: time.Minute}
+	port, err := NewPort(server, "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(port.Listener) }()
+	raw, err := port.Listener.SyscallConn()
+	assert.NilError(t, err)
+	assert.NilError(t, raw.Control(func(descriptor uintptr) {
+		assert.NilError(t, syscall.Shutdown(int(descriptor), syscall.SHUT_RD)) // accept fails with EINVAL
+	}))
+	select {
+	case err := <-served:
+		t.Fatalf("the server has ended: %v", err)
+	case <-time.After(200 * time.Millisecond):
+	}
+	assert.NilError(t, server.Close())
+	assert.ErrorIs(t, <-served, http.ErrServerClosed)
+}
