runner: SIGHUP and SIGTERM do not end a process whose ports have just opened

A gate, keeper or stand-in ended by SIGHUP, or by SIGTERM without a graceful stop, if the signal came right after its first port had opened, and reset the connections that waited there.

Signals were caught only after the ports were open, other than in entry and control instances. They are caught first now. A keeper that gets SIGTERM while it reads its state stops when it has started, as a control instance does.

Gate and keeper by the same order of calls; not run by themselves.

--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -201,14 +201,14 @@
 // Run opens the ports and serves until a signal has stopped the instance
 // gracefully. The callers' port opens only when the instance can serve.
 func (g *Gate) Run(ctx context.Context, credentials certifier.Credentials) error {
+	actors := &conductor.Actors{}
+	actors.CatchSignals()
 	ports, err := g.listen()
 	if err != nil {
 		return err
 	}
 	peerServer := messenger.NewServer(ports.peers, credentials, g.calls)
 	defer g.client.Close()
-	actors := &conductor.Actors{}
-	actors.CatchSignals()
 	actors.Add("dispatcher", g.dispatcher.Run)
 	actors.Add("gossip", g.membership.run)
 	actors.Add("evidence", g.membership.evidence.run)
--- a/internal/runner/keeper.go
+++ b/internal/runner/keeper.go
@@ -34,6 +34,8 @@
 // RunKeeper is like ServeKeeper but uses the given credentials. The options
 // apply to the keeper's calls to other processes.
 func RunKeeper(ctx context.Context, settings loader.KeeperProcess, credentials certifier.Credentials, options ...messenger.Option) error {
+	actors := &conductor.Actors{}
+	actors.CatchSignals()
 	disk, err := journaler.OpenFolder(settings.DataFolder)
 	if err != nil {
 		return trace.Wrap(err, "data-folder")
@@ -59,8 +61,6 @@
 	if err != nil {
 		return trace.Wrap(err, "operator-address")
 	}
-	actors := &conductor.Actors{}
-	actors.CatchSignals()
 	for _, task := range k.Tasks() {
 		actors.Add(task.Name, task.Run)
 	}
--- a/internal/runner/standin.go
+++ b/internal/runner/standin.go
@@ -24,6 +24,8 @@
 // RunStandin runs a stand-in backend server, which announces itself to the entry
 // instances in its settings, until a signal has stopped it gracefully.
 func RunStandin(ctx context.Context, settings loader.Standin) error {
+	actors := &conductor.Actors{}
+	actors.CatchSignals()
 	server := &imitator.Server{Name: settings.Name, TokenInterval: cmp.Or(settings.TokenInterval, defaultTokenInterval)}
 	announcer := &imitator.Announcer{
 		Server: server, Address: settings.Address, Instances: settings.Announce, Pools: settings.Pools,
@@ -35,8 +37,6 @@
 	if err != nil {
 		return trace.Wrap(err, "address")
 	}
-	actors := &conductor.Actors{}
-	actors.CatchSignals()
 	actors.Add("announcer", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, stopAnnouncing)
 		defer stop()
