forwarder: a relayed stream that breaks twice keeps to max_attempts

Cause: the second instance says in the head of its response how many servers it has used. The head goes out with the first event. When the stream broke and was resumed there, the relaying instance never learned of it, and after a second break used one server too many.

The second instance now states each new count in a comment within the stream, before the request is sent to the next server, and takes it back if that server did not run the request. What it wrote before it ended arrives before the end, so that the relaying instance has an upper bound whenever the connection ends, and the attempts that were not used are left. The comment starts with a random mark out of the relayed call: servers cannot write one, and a relaying instance of the last release, which sends no mark, gets none. The relaying instance drops it before it counts events, progress or the end of the stream. When it breaks a stream off itself, it takes all attempts for used.

Not covered: a count that a cut between the instances loses; beside an instance of the last release the count of the head stands, as before. Looked at, without the fault: headerOffered and headerRan of refusals (written when the count is final), the retry budget (taken where a retry is made), headerServerVersion (a stream goes on only at the version that began it), the own stack (relayed streams are not resumed).

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -100,9 +100,16 @@
 	}
 	out.call.open.enter(phaseServer)
 	record.server, record.serverVersion = decision.Server.Name, decision.Server.Version
+	if !out.stateRuns(out.possibleRuns + 1) {
+		f.fleet.Finish(id, placer.OutcomeAbandoned)
+		record.note = "caller disconnected"
+		return resultPartial
+	}
 	out.offeredToServer = true
 	out.attemptVersion = f.currentVersion(decision)
-	return f.sendToServer(ctx, out, id, decision)
+	result := f.sendToServer(ctx, out, id, decision)
+	out.stateRuns(out.possibleRuns) // one less if the server declined
+	return result
 }
 
 func (f *Forwarder) placementRequest(call *Call) placer.Request {
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"strconv"
 
 	"github.com/boragehead/boragehead/internal/reserver"
 )
@@ -40,3 +41,24 @@
 		}
 	}
 }
+
+// eventID returns the id field of an event, or an empty string if it has none.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			return string(bytes.TrimSpace(value))
+		}
+	}
+	return ""
+}
+
+// eventFollows reports whether the event with an id comes after the one with the
+// last id. Ids that are not numbers are assumed to arrive in order.
+func eventFollows(id, last string) bool {
+	next, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	before, err := strconv.ParseInt(last, 10, 64)
+	return err != nil || next > before
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -67,6 +67,9 @@
 	// streamVersion is the version by which the stream began that a relayed call takes up
 	// or resumes, as the relaying instance knows it.
 	streamVersion string
+	// runsMark begins the comments that count servers within a relayed stream; empty if
+	// the call is not relayed, or was by an earlier release.
+	runsMark string
 	// maxBody is the definition's limit of the body in bytes; 0 for the default.
 	maxBody int64
 	// fingerprint identifies the request together with its repetitions; 0 until the body
--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -55,6 +54,9 @@
 	serverFailure *bufferedResponse
 	// possibleRuns is the number of servers that may have run the request.
 	possibleRuns int
+	// statedRuns is the count of servers that the second instance of a relay has stated
+	// last. Both instances keep it.
+	statedRuns int
 	// offeredToServer means that at least one server was offered the request.
 	// Only then does another attempt count as a retry.
 	offeredToServer bool
@@ -153,7 +155,8 @@
 func (r *callerResponse) copyHeaders(from http.Header) {
 	header, serverVersion := r.writer.Header(), ""
 	if r.call.Relayed {
-		header.Set(headerRan, strconv.Itoa(r.possibleRuns))
+		r.statedRuns = r.possibleRuns
+		header.Set(headerRan, strconv.Itoa(r.statedRuns))
 		serverVersion = r.attemptVersion
 	}
 	from = from.Clone()
@@ -205,6 +208,8 @@
 		r.memory.Shrink(held)
 		event, err := readEvent(reader, &r.memory)
 		switch {
+		case err == nil && r.takeStatedRuns(event):
+			continue
 		case err == nil:
 			received.events++
 			if !isComments(event) {
@@ -318,17 +323,6 @@
 	return !r.streamStarted || r.lastEventID != "" && !r.unnumberedEvents
 }
 
-// eventFollows reports whether the event with an id comes after the one with the
-// last id. Ids that are not numbers are assumed to arrive in order.
-func eventFollows(id, last string) bool {
-	next, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return true
-	}
-	before, err := strconv.ParseInt(last, 10, 64)
-	return err != nil || next > before
-}
-
 // startStream sends the status and headers of a stream to the caller.
 func (r *callerResponse) startStream(response *http.Response) {
 	r.noteFirstByte()
@@ -375,16 +369,6 @@
 // not sent.
 const statusStreamBroken = 599
 
-// eventID returns the id field of an event, or an empty string if it has none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			return string(bytes.TrimSpace(value))
-		}
-	}
-	return ""
-}
-
 // splitHeaderList splits a comma-separated header value and drops empty elements.
 func splitHeaderList(value string) []string {
 	names := strings.Split(value, ",")
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/base64"
 	"net/http"
 	"slices"
@@ -27,8 +28,8 @@
 	// a server's response. Its value is one of the outcomes below.
 	headerOutcome = "Boragehead-Outcome"
 	// headerRan is the number of servers that may have run the request in the
-	// second instance's region, and headerOffered the number of attempts made at
-	// servers there.
+	// second instance's region until the head of the response (see stateRuns), and
+	// headerOffered the number of attempts made at servers there.
 	headerRan     = "Boragehead-Ran"
 	headerOffered = "Boragehead-Offered"
 	// headerRetryAfter is how long a request that the second instance refused
@@ -79,6 +80,9 @@
 	// StreamVersion is the software version by which the stream began that goes on after
 	// LastEvent; empty if there is none.
 	StreamVersion string `cbor:"z,omitempty"`
+	// RunsMark begins the comments in which the second instance counts servers within a
+	// stream; empty from an earlier release, which would forward them.
+	RunsMark string `cbor:"n,omitempty"`
 }
 
 // sendToRegion makes one attempt by relaying a call to an instance of another
@@ -108,6 +112,7 @@
 	defer cancel()
 	match := &matcher.Match{}
 	request := newOutgoingRequest(match.Follow(ctx, call.ID), call, address.String())
+	call.runsMark = rand.Text() // no server can know it
 	header, err := encodeRelayedCall(call, out.lastEventID, out.version, maxRuns)
 	if err != nil {
 		klog.ErrorS(err, "failed to encode call for relay", "id", call.ID)
@@ -125,8 +130,9 @@
 		return resultUnknown, maxRuns
 	}
 	defer func() { _ = response.Body.Close() }()
+	out.statedRuns = maxRuns
 	if reported, err := strconv.Atoi(response.Header.Get(headerRan)); err == nil && reported >= 0 {
-		maxRuns = min(maxRuns, reported)
+		out.statedRuns = reported
 	}
 	response.Header.Del(headerRan)
 	out.attemptVersion = response.Header.Get(headerServerVersion)
@@ -145,11 +151,14 @@
 	case outcomeUnknown:
 		out.offeredToServer = true
 		call.record.note = "request failed in the other region: " + response.Status
-		return resultUnknown, maxRuns
+		return resultUnknown, min(maxRuns, out.statedRuns)
 	}
-	out.offeredToServer = true
+	out.offeredToServer, out.breakCause = true, nil
 	result, _ = f.handleResponse(out, match, response)
-	return result, maxRuns
+	if isBrokenOffHere(out.breakCause) {
+		return result, maxRuns // a later count may not have been read
+	}
+	return result, min(maxRuns, out.statedRuns)
 }
 
 // encodeRelayedCall returns the value of headerRelay for a call whose stream, if
@@ -167,7 +176,7 @@
 	data, err := cbor.Marshal(relayedCall{
 		ID: call.ID, Route: *call.Route, Service: *call.Service, Workspace: workspace, Version: call.record.definitionVersion,
 		Work: call.Work, AttemptsLeft: attemptsLeft, Urgency: call.Urgency, UntilDeadline: time.Until(call.Deadline), UntilObjective: untilObjective,
-		LastEvent: lastEvent, Homes: call.HomeRegions, Bound: call.HomeRegionsOnly, Probe: call.probe, MaxBody: call.maxBody, StreamVersion: version,
+		LastEvent: lastEvent, Homes: call.HomeRegions, Bound: call.HomeRegionsOnly, Probe: call.probe, MaxBody: call.maxBody, StreamVersion: version, RunsMark: call.runsMark,
 	})
 	return base64.StdEncoding.EncodeToString(data), err
 }
@@ -291,6 +300,7 @@
 	}
 	call.record.definitionVersion, call.homesVersion = decoded.Version, decoded.Version
 	call.probe, call.maxBody, call.streamVersion = decoded.Probe, decoded.MaxBody, decoded.StreamVersion
+	call.runsMark = decoded.RunsMark
 	call.Route.Objective = max(decoded.UntilObjective, time.Millisecond)
 	call.Route.Attempts = decoded.AttemptsLeft
 	return call, nil
--- a/internal/forwarder/relay_test.go
+++ b/internal/forwarder/relay_test.go
@@ -69,6 +69,43 @@
 	}
 }
 
+// TestStreamThatBreaksTwiceRunsOnThreeServers has another region resume a relayed stream
+// after its first events are here, so that the head of its response counts one server only.
+func TestStreamThatBreaksTwiceRunsOnThreeServers(t *testing.T) {
+	first, second, rest := respondEvents(1, 2, false), respondEvents(3, 4, false), respondEvents(5, 6, true)
+	tests := []struct {
+		name     string
+		attempts int
+		remote   []http.HandlerFunc
+		local    http.HandlerFunc
+		// remoteRequests are those that servers of the other region got.
+		remoteRequests, localRequests int32
+		body                          string
+		complete                      bool
+	}{
+		{"resumed there, both attempts used", 2, []http.HandlerFunc{first, second}, rest, 2, 0, eventsText(4), false},
+		{"resumed there, one attempt left", 3, []http.HandlerFunc{first, second}, rest, 2, 1, eventsText(6), true},
+		{"resumed there to the end", 2, []http.HandlerFunc{first, respondEvents(3, 6, true)}, rest, 2, 0, eventsText(6), true},
+		{"resumed there in vain", 2, []http.HandlerFunc{first, respondRaw("")}, rest, 2, 0, eventsText(2), false},
+		{"no second server there", 2, []http.HandlerFunc{first}, respondEvents(3, 6, true), 1, 1, eventsText(6), true},
+		{"second server there declines", 2, []http.HandlerFunc{first, decline}, respondEvents(3, 6, true), 2, 1, eventsText(6), true},
+		{"second server there declines, third resumes", 2, []http.HandlerFunc{first, decline, second}, rest, 3, 0, eventsText(4), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			route := definer.Route{Kind: definer.KindStream, Attempts: test.attempts, Resumable: true}
+			local, remote := newTestGateway(t, route, test.local), newTestGateway(t, route, test.remote...)
+			relayTo(t, local, remote, retryLimit)
+			status, body, err := local.do("POST", "/a", "x")
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, body, test.body)
+			assert.Equal(t, err == nil, test.complete, "whether the stream looks complete")
+			assert.Equal(t, remote.serverRequests.Load(), test.remoteRequests)
+			assert.Equal(t, local.serverRequests.Load(), test.localRequests)
+		})
+	}
+}
+
 // TestUnofferedRelayCostsNoRetry runs without a retry budget. After a region
 // refused a request without offering it to a server, the next attempt must not
 // need the budget.
