forwarder, launcher: requests that are refused do not hold a stop, nor are they listed as ended by it

A stopping instance whose callers kept sending half-written requests ran to its limit, and logged "request ended by the stop" for requests that it had answered with 503 before.

A refusal of a request whose body is under way reads on for up to a second, so that the caller gets the answer, and the handler counted as a request in progress all the while. With one caller after the other there was always one.

A request is no longer in progress once it is refused. The process still waits for those callers, when its ports are closed and no new ones can come, up to the stop limit.

TestRefusedRequestHoldsStop: failed before, passes after. Forwarder, launcher and responder with the race detector: passed.

--- a/internal/forwarder/open.go
+++ b/internal/forwarder/open.go
@@ -17,9 +17,11 @@
 	phaseServer
 	phaseRelay
 	phaseAnswer
+	// phaseRefused is that of a request that gets a refusal. Its caller may still send.
+	phaseRefused
 )
 
-var phaseNames = []string{"head", "checks", "body", "choice", "server", "relay", "answer"}
+var phaseNames = []string{"head", "checks", "body", "choice", "server", "relay", "answer", "refused"}
 
 // openRequest is a request in progress.
 type openRequest struct {
@@ -54,6 +56,9 @@
 	return request
 }
 
+// isRefused reports whether the request has its answer, as far as it is decided.
+func (o *openRequest) isRefused() bool { return phase(o.phase.Load()) == phaseRefused }
+
 func (o *openRequests) remove(request *openRequest) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -70,11 +75,14 @@
 	Phase string
 }
 
-// OpenRequests returns the requests in progress, including relayed ones.
+// OpenRequests returns the requests in progress that are not refused, including relayed ones.
 func (f *Forwarder) OpenRequests() (requests []OpenRequest) {
 	f.openRequests.mu.Lock()
 	defer f.openRequests.mu.Unlock()
 	for request := range f.openRequests.all {
+		if request.isRefused() {
+			continue
+		}
 		described := OpenRequest{Arrived: request.arrived, Phase: phaseNames[request.phase.Load()]}
 		if id := request.id.Load(); id != nil {
 			described.ID = *id
@@ -84,10 +92,29 @@
 	return requests
 }
 
-// ActiveRequests returns the number of requests in progress, including relayed
-// ones.
+// ActiveRequests returns the number of requests in progress that are not refused, including
+// relayed ones.
 func (f *Forwarder) ActiveRequests() int {
-	f.openRequests.mu.Lock()
-	defer f.openRequests.mu.Unlock()
-	return len(f.openRequests.all)
+	active, _ := f.openRequests.count()
+	return active
+}
+
+// RefusedRequests returns the number of requests that are refused and whose callers may still
+// send, which takes a moment at most.
+func (f *Forwarder) RefusedRequests() int {
+	_, refused := f.openRequests.count()
+	return refused
+}
+
+func (o *openRequests) count() (active, refused int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for request := range o.all {
+		if request.isRefused() {
+			refused++
+		} else {
+			active++
+		}
+	}
+	return active, refused
 }
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -16,6 +16,7 @@
 func (f *Forwarder) finish(w http.ResponseWriter, call *Call, refusal *Refusal) {
 	if refusal != nil {
 		call.record.status = refusal.Status
+		call.open.enter(phaseRefused)
 	}
 	f.reportCall(call, refusal)
 	switch {
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -202,6 +202,7 @@
 		return
 	}
 	call.record.status = refusal.Status
+	open.enter(phaseRefused)
 	f.reportCall(call, refusal)
 	if call.Body != nil || r.Body == http.NoBody {
 		writeRelayRefusal(w, call, refusal)
--- a/internal/forwarder/stop_test.go
+++ b/internal/forwarder/stop_test.go
@@ -90,6 +90,22 @@
 	assert.Equal(t, g.serverRequests.Load(), int32(0))
 }
 
+// TestRefusedRequestHoldsStop has a caller go on sending a request that is refused: the
+// connection is read on for a moment, but the request is not in progress.
+func TestRefusedRequestHoldsStop(t *testing.T) {
+	_, f, port := newStoppableGateway(t, respond(http.StatusOK, "answer"))
+	f.RefuseEndingAfter(time.Now())
+	conn := writeHalfRequest(t, port)
+	assert.Equal(t, readStatus(t, conn), http.StatusServiceUnavailable)
+	assert.Equal(t, f.ActiveRequests(), 0)
+	assert.Equal(t, len(f.OpenRequests()), 0)
+	assert.Equal(t, f.RefusedRequests(), 1, "it is not read on")
+	assert.NilError(t, conn.Close())
+	for limit := time.Now().Add(time.Second); f.RefusedRequests() > 0; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(limit), "the connection is not given up")
+	}
+}
+
 // TestRequestsOpenAtEndOfStopAreAnswered ends a stop while a request is being read, and
 // while its server works.
 func TestRequestsOpenAtEndOfStopAreAnswered(t *testing.T) {
--- a/internal/launcher/stop.go
+++ b/internal/launcher/stop.go
@@ -72,6 +72,9 @@
 		endRequests()
 	})
 	cut := closeAll(requestsCtx, e.callerPort, e.relayPort)
+	for ctx.Err() == nil && e.forwarder.RefusedRequests() > 0 {
+		conductor.Sleep(ctx, stopPollInterval) // the end of the process would reset their connections
+	}
 	reason := stopReason(ctx)
 	stopWaiting()
 	klog.InfoS("stopped", "reason", reason, "active", e.forwarder.ActiveRequests(), "cut", cut, "took", time.Since(began))
