follower: what was known before a standstill does not count after it

A stream goes on at a server by its version, as it was last told, if that is at most 3 s old. An instance that stood still for less than that counted its knowledge as current when it woke. The requests that had waited in its sockets run before the news is read, so that a stream may go on at a server that has started again under its name with another version, and one that begins there is recorded with the old version (ORDER). The protocol allows both.

An instance that has not refreshed its view for a second counts what it knows of versions as outdated, until a control instance has answered a question asked after that. It is not held back: the question names no services that are known to be mixed, so the answer comes after one round trip. Until then, streams are refused with 503 as they were after longer standstills. Five refresh intervals are far above the pauses of a process that runs.

TestKnowledgeFromBeforeStandstillCountsAsNew failed before: the age was at most 3 s after 1.1 s without a refresh.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -88,6 +88,7 @@
 	quotas         apportioner.Apportioner
 	beaconSequence uint64
 	watchAnswered  bool
+	standstill     standstill
 	// originsRestarted means that a control instance has started anew since origins were
 	// last reported.
 	originsRestarted bool
--- a/internal/follower/origins.go
+++ b/internal/follower/origins.go
@@ -88,17 +88,46 @@
 }
 
 // VersionsAge returns how long ago a control instance last told which servers there are. It
-// grows while this instance stands still or is suspended.
+// grows while this instance stands still or is suspended, and nothing that was told before
+// counts afterwards: the requests that waited for this instance run before it has read what
+// has happened since.
 func (f *Follower) VersionsAge() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, age := time.Now(), time.Duration(math.MaxInt64)
+	if f.standstill.lasts(now) {
+		return age
+	}
 	for _, watch := range f.controlWatches {
-		age = min(age, conductor.Elapsed(watch.serversAsOf, now))
+		if watch.serversAsOf.After(f.standstill.ended) {
+			age = min(age, conductor.Elapsed(watch.serversAsOf, now))
+		}
 	}
 	return age
 }
 
+// maxPause is the longest time between two refreshes of an instance that runs: several of
+// their intervals, since a busy machine delays them.
+const maxPause = 5 * refreshInterval
+
+// standstill tells whether and when this process stood still.
+type standstill struct {
+	lastRefresh, ended time.Time
+}
+
+// lasts reports whether the process has done nothing for too long until now.
+func (s *standstill) lasts(now time.Time) bool {
+	return !s.lastRefresh.IsZero() && conductor.Elapsed(s.lastRefresh, now) > maxPause
+}
+
+// recordRefresh records that the process runs.
+func (s *standstill) recordRefresh(now time.Time) {
+	if s.lasts(now) {
+		s.ended = now
+	}
+	s.lastRefresh = now
+}
+
 // ReportOrigins reports the origins of streams to a control instance until the context
 // ends.
 func (f *Follower) ReportOrigins(ctx context.Context) error {
--- a/internal/follower/outofstep_test.go
+++ b/internal/follower/outofstep_test.go
@@ -74,6 +74,39 @@
 	}
 }
 
+// TestKnowledgeFromBeforeStandstillCountsAsNew guards against an instance that has stood
+// still, for less than its knowledge may be old, and takes a server that has started again
+// meanwhile for its predecessor: requests that waited for it run before the news is read.
+func TestKnowledgeFromBeforeStandstillCountsAsNew(t *testing.T) {
+	mux := &messenger.Mux{}
+	messenger.Handle(mux, controller.MethodWatch, []certifier.Role{certifier.RoleGate}, func(ctx context.Context, _ certifier.Identity, query controller.WatchQuery) (controller.WatchAnswer, error) {
+		answer := controller.WatchAnswer{Epoch: 1, Region: "north", Mixed: &controller.MixedServices{Hash: 2}}
+		if query.Epoch == answer.Epoch && query.MixedHash == answer.Mixed.Hash {
+			<-ctx.Done() // there is no news
+			return answer, ctx.Err()
+		}
+		return answer, nil
+	})
+	f, north, _ := newFollower(t)
+	f.client = messenger.NewPlainClient(certifier.Identity{Name: "a", Role: certifier.RoleGate})
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 187, byte(os.Getpid()), 10}), 7600)
+	listener, err := net.Listen("tcp4", address.String())
+	assert.NilError(t, err)
+	go func() { assert.Check(t, messenger.NewPlainServer(listener, mux).Run(t.Context())) }()
+	control := messenger.Endpoint{Name: address.String(), Address: address}
+	f.controlAddresses, north.lastAnswer = nil, time.Now()
+	f.refresh(t.Context())
+	assert.NilError(t, f.poll(t.Context(), control, north))
+	assert.Assert(t, f.VersionsAge() <= maxVersionAge)
+
+	time.Sleep(1100 * time.Millisecond)
+	assert.Assert(t, f.VersionsAge() > maxVersionAge, "before anything else has run")
+	f.refresh(t.Context())
+	assert.Assert(t, f.VersionsAge() > maxVersionAge, "before a control instance was asked")
+	assert.NilError(t, f.poll(t.Context(), control, north)) // is not held back
+	assert.Assert(t, f.VersionsAge() <= maxVersionAge)
+}
+
 // TestSoleVersionOfControlInstanceOutOfStep takes up a stream that began at a version which
 // one control instance has not heard of, since it was cut off or stood still.
 func TestSoleVersionOfControlInstanceOutOfStep(t *testing.T) {
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -58,6 +58,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	f.standstill.recordRefresh(now)
 	for _, address := range f.controlAddresses {
 		if _, known := f.controlWatches[address]; !known {
 			f.startWatch(ctx, now, address)
@@ -190,7 +191,7 @@
 		ServersRevision: watch.serversRevision, PeersRevision: watch.peersRevision, Region: f.settings.Region, Name: f.settings.Name,
 		QuarantineRevision: max(watch.quarantineRevision, 1), MixedHash: 1, InstanceChanges: true,
 	}
-	if watch.mixed != nil {
+	if watch.mixed != nil && watch.serversAsOf.After(f.standstill.ended) { // else the answer is not held back
 		query.MixedHash = watch.mixed.Hash
 	}
 	timeout := watchTimeout
