--- a/internal/beaconer/beaconer_test.go
+++ b/internal/beaconer/beaconer_test.go
@@ -14,7 +14,8 @@
 )
 
 // TestBeaconWithManyServersIsReceived sends the loads of many servers, as when an instance has
-// ejected hundreds of entries that lead nowhere. Its neighbours must still hear it.
+// ejected hundreds of entries that lead nowhere, one of them with an odd name. Its neighbours
+// must still hear it.
 func TestBeaconWithManyServersIsReceived(t *testing.T) {
 	address := func(last byte) netip.AddrPort {
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 185, byte(os.Getpid()), last}), 7300)
@@ -28,7 +29,7 @@
 	received := make(chan Beacon, 1)
 	go func() { ended <- sender.Run(ctx, func(time.Time, Beacon) {}) }()
 	go func() { ended <- receiver.Run(ctx, func(_ time.Time, beacon Beacon) { received <- beacon }) }()
-	loads := map[string]placer.Load{}
+	loads := map[string]placer.Load{"\xff": {EjectedBy: 1}}
 	for i := range 1200 {
 		loads[fmt.Sprintf("i-%08x", i)] = placer.Load{EjectedBy: 1}
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -236,6 +236,8 @@
 		{"declined request goes to another server", once, []http.HandlerFunc{decline, respond(200, "whole")}, 200, "whole", 2},
 		{"request declined by all servers is refused as not run", once, []http.HandlerFunc{decline, decline}, 503, "no-server", 2},
 		{"503 without a statement that it did not run may have run", once, []http.HandlerFunc{respond(503, "busy")}, 502, "no-answer", 1},
+		{"429 without such a statement", once, []http.HandlerFunc{respond(429, "busy")}, 502, "no-answer", 1},
+		{"408 without such a statement", once, []http.HandlerFunc{respond(408, "late")}, 502, "no-answer", 1},
 		{"truncated response is not forwarded", once, []http.HandlerFunc{respondRaw(head + "Content-Length: 10\r\n\r\nhalf")}, 502, "no-answer", 1},
 		{"truncated response is retried", repeatable, []http.HandlerFunc{respondRaw(head + "Content-Length: 10\r\n\r\nhalf"), respond(200, "whole")}, 200, "whole", 2},
 		{"response without a length ends with its connection", once, []http.HandlerFunc{respondRaw(head + "\r\nwhole")}, 200, "whole", 1},
@@ -243,6 +245,7 @@
 		{"unsigned response", once, []http.HandlerFunc{respondRaw("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 1\r\n\r\nx")}, 502, "no-answer", 1},
 		{"response with a content encoding", once, []http.HandlerFunc{respondRaw(head + "Content-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx")}, 502, "no-answer", 1},
 		{"no response", once, []http.HandlerFunc{respondRaw("")}, 502, "no-answer", 1},
+		{"no server is left after a missing response", repeatable, []http.HandlerFunc{respondRaw("")}, 502, "no-answer", 1},
 		{"missing response is retried", repeatable, []http.HandlerFunc{respondRaw(""), respond(200, "whole")}, 200, "whole", 2},
 		{"response is not HTTP", once, []http.HandlerFunc{respondRaw("nonsense\r\n\r\n")}, 502, "no-answer", 1},
 	}
--- a/internal/forwarder/repeatedrefusal_test.go
+++ b/internal/forwarder/repeatedrefusal_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -236,3 +237,31 @@
 		assert.Equal(t, status, []int{http.StatusBadGateway, http.StatusOK}[number%2], "request %d", number)
 	}
 }
+
+// spentConn takes one request, and nothing after it.
+type spentConn struct {
+	net.Conn
+	writes atomic.Int32
+}
+
+func (c *spentConn) Write(data []byte) (int, error) {
+	if c.writes.Add(1) > 1 {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(data)
+}
+
+// TestRequestIsNotSentAgainThoughNothingWasWritten guards against the same without a race: the
+// kept connection fails at the first byte of the second request.
+func TestRequestIsNotSentAgainThoughNothingWasWritten(t *testing.T) {
+	g, forwarder := versionGateway(t, &fixedOrigins{versions: map[string]string{}}, "v1", respond(200, "whole"))
+	forwarder.serverTransport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return &spentConn{Conn: conn}, err
+	}
+	for range 2 {
+		status, body, err := g.do("POST", "/a", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK, "%s", body)
+	}
+}
