forwarder: test that a quarantine does not refuse a request that may have run

A part that is quarantined while a server has the request ends it with 502, not with 503, which would promise that it has not run. No test saw the condition taken out; the new one fails then (503).

--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -21,15 +21,21 @@
 
 // fixedQuarantine has one level for all parts and records what is reported.
 type fixedQuarantine struct {
+	mu        sync.Mutex
 	admission quarantiner.Admission
+	crashes   int
+	begins    int
+}
 
-	mu      sync.Mutex
-	crashes int
-	begins  int
+func (q *fixedQuarantine) Admit(quarantiner.Traits) quarantiner.Admission {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.admission
 }
 
-func (q *fixedQuarantine) Admit(quarantiner.Traits) quarantiner.Admission { return q.admission }
-func (q *fixedQuarantine) Level(quarantiner.Traits) quarantiner.Level     { return q.admission.Level }
+func (q *fixedQuarantine) Level(traits quarantiner.Traits) quarantiner.Level {
+	return q.Admit(traits).Level
+}
 
 func (q *fixedQuarantine) RecordCrash(time.Time, registrar.Server, quarantiner.Traits) {
 	q.mu.Lock()
@@ -124,6 +130,21 @@
 	assert.Equal(t, local.serverRequests.Load()+remote.serverRequests.Load(), int32(0))
 }
 
+// TestQuarantineSaysThatRunRequestHasNotRun guards against a refusal that promises that a
+// request has not run, since its part was quarantined while a server had it.
+func TestQuarantineSaysThatRunRequestHasNotRun(t *testing.T) {
+	q := &fixedQuarantine{}
+	g := quarantineGateway(t, q, definer.Route{Kind: definer.KindIdempotent, Attempts: 3}, func(w http.ResponseWriter, r *http.Request) {
+		q.mu.Lock()
+		q.admission = quarantiner.Admission{Level: quarantiner.LevelQuarantined, RetryAfter: time.Minute}
+		q.mu.Unlock()
+		respondRaw("")(w, r)
+	}, respond(200, "whole"))
+	status, body, err := g.do("POST", "/a", "x", "Parts", "1 2")
+	assert.NilError(t, err)
+	assert.Equal(t, status, 502, "%s", body)
+}
+
 // TestOnlyCrashesUnderBeginsAreEvidence breaks connections in ways that a crashing
 // server does, and in others.
 func TestOnlyCrashesUnderBeginsAreEvidence(t *testing.T) {
