--- a/internal/follower/outofstep_test.go
+++ b/internal/follower/outofstep_test.go
@@ -14,6 +14,7 @@
 	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/controller"
 	"github.com/boragehead/boragehead/internal/messenger"
+	"github.com/boragehead/boragehead/internal/registrar"
 	"github.com/boragehead/boragehead/internal/versioner"
 )
 
@@ -74,6 +75,39 @@
 	}
 }
 
+// TestKnowledgeFromBeforeStandstillCountsAsNew guards against an instance that has stood
+// still, for less than its knowledge may be old, and takes a server that has started again
+// meanwhile for its predecessor: requests that waited for it run before the news is read.
+func TestKnowledgeFromBeforeStandstillCountsAsNew(t *testing.T) {
+	mux := &messenger.Mux{}
+	messenger.Handle(mux, controller.MethodWatch, []certifier.Role{certifier.RoleGate}, func(ctx context.Context, _ certifier.Identity, query controller.WatchQuery) (controller.WatchAnswer, error) {
+		answer := controller.WatchAnswer{Epoch: 1, Region: "north", Mixed: &controller.MixedServices{Hash: 2}}
+		if query.Epoch == answer.Epoch && query.MixedHash == answer.Mixed.Hash {
+			<-ctx.Done() // there is no news
+			return answer, ctx.Err()
+		}
+		return answer, nil
+	})
+	f, north, _ := newFollower(t)
+	f.client = messenger.NewPlainClient(certifier.Identity{Name: "a", Role: certifier.RoleGate})
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 187, byte(os.Getpid()), 10}), 7600)
+	listener, err := net.Listen("tcp4", address.String())
+	assert.NilError(t, err)
+	go func() { assert.Check(t, messenger.NewPlainServer(listener, mux).Run(t.Context())) }()
+	control := messenger.Endpoint{Name: address.String(), Address: address}
+	f.controlAddresses, north.lastAnswer = nil, time.Now()
+	f.refresh(t.Context())
+	assert.NilError(t, f.poll(t.Context(), control, north))
+	assert.Assert(t, f.VersionsAge() <= maxVersionAge)
+
+	time.Sleep(1100 * time.Millisecond)
+	assert.Assert(t, f.VersionsAge() > maxVersionAge, "before anything else has run")
+	f.refresh(t.Context())
+	assert.Assert(t, f.VersionsAge() > maxVersionAge, "before a control instance was asked")
+	assert.NilError(t, f.poll(t.Context(), control, north)) // is not held back
+	assert.Assert(t, f.VersionsAge() <= maxVersionAge)
+}
+
 // TestSoleVersionOfControlInstanceOutOfStep takes up a stream that began at a version which
 // one control instance has not heard of, since it was cut off or stood still.
 func TestSoleVersionOfControlInstanceOutOfStep(t *testing.T) {
@@ -85,15 +119,18 @@
 		answers []*controller.OriginAnswer
 		version string
 		source  versioner.Source
+		// own, unless empty, is the version of a server that this instance knows.
+		own string
 	}{
-		{"all know one version", []*controller.OriginAnswer{sole, sole, sole}, "v1", versioner.SourceSole},
-		{"one knows of another", []*controller.OriginAnswer{sole, {}, sole}, "", versioner.SourceUnknown},
-		{"one knows only another", []*controller.OriginAnswer{sole, sole, {SoleVersion: "v2", Controls: group}}, "", versioner.SourceUnknown},
-		{"one does not answer", []*controller.OriginAnswer{sole, nil, sole}, "", versioner.SourceUnknown},
-		{"one is not known here", []*controller.OriginAnswer{sole, sole}, "", versioner.SourceUnknown},
-		{"one was told of the stream", []*controller.OriginAnswer{sole, {Version: "v2"}, nil}, "v2", versioner.SourceReported},
-		{"one that is gone does not answer", []*controller.OriginAnswer{{SoleVersion: "v1", Controls: []string{a, b}}, {SoleVersion: "v1", Controls: []string{a, b}}, nil}, "v1", versioner.SourceSole},
-		{"earlier release", []*controller.OriginAnswer{{SoleVersion: "v1"}, {SoleVersion: "v1"}, nil}, "", versioner.SourceUnknown},
+		{"all know one version", []*controller.OriginAnswer{sole, sole, sole}, "v1", versioner.SourceSole, ""},
+		{"one knows of another", []*controller.OriginAnswer{sole, {}, sole}, "", versioner.SourceUnknown, ""},
+		{"one knows only another", []*controller.OriginAnswer{sole, sole, {SoleVersion: "v2", Controls: group}}, "", versioner.SourceUnknown, ""},
+		{"one does not answer", []*controller.OriginAnswer{sole, nil, sole}, "", versioner.SourceUnknown, ""},
+		{"one is not known here", []*controller.OriginAnswer{sole, sole}, "", versioner.SourceUnknown, ""},
+		{"one was told of the stream", []*controller.OriginAnswer{sole, {Version: "v2"}, nil}, "v2", versioner.SourceReported, ""},
+		{"one that is gone does not answer", []*controller.OriginAnswer{{SoleVersion: "v1", Controls: []string{a, b}}, {SoleVersion: "v1", Controls: []string{a, b}}, nil}, "v1", versioner.SourceSole, ""},
+		{"earlier release", []*controller.OriginAnswer{{SoleVersion: "v1"}, {SoleVersion: "v1"}, nil}, "", versioner.SourceUnknown, ""},
+		{"this instance knows of another", []*controller.OriginAnswer{sole, sole, sole}, "", versioner.SourceUnknown, "v2"},
 	}
 	for i, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -115,7 +152,12 @@
 					answer = &renamed
 				}
 				serveOrigins(t, netip.MustParseAddrPort(address), answer)
-				f.controlWatches[address] = &controlWatch{lastAnswer: time.Now(), cancel: func() {}}
+				f.controlWatches[address] = &controlWatch{lastAnswer: time.Now(), cancel: func() {}, reportsByServer: map[string]serverReport{}}
+			}
+			if test.own != "" {
+				known := server(registrar.StateReady, 1)
+				known.Version = test.own
+				f.receiveReports(time.Now(), f.controlWatches[addresses[a]], known)
 			}
 			for range 5 { // in whatever order they answer
 				version, source := f.Origin(t.Context(), "r1", "s")
