launcher: a signal that is noticed late does not move the end of a stop past its limit

What callers saw: in TestStopSoak, processes killed at their limit while they still served, and one request cut that was sent 3.4 s after SIGTERM.

Cause: a stop counted its times from when the process noticed the signal. A process that gets no processor notices it late, then takes requests later than 3 s after the signal past its end, and is killed before its own limit.

Fix: the process notes every 100 ms that it runs, and so knows since when the signal may have waited, also through its start. Requests are refused from 2.75 s after that moment on, and the stop ends 7.2 s after it, but not before 6.72 s after the signal was noticed, since nothing may be cut before the last sixth of the limit. That makes up for a second less the time to exit.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -151,6 +151,12 @@
 	return a.group.Run()
 }
 
+// StopAsked returns the earliest time at which the signal may have been sent that made Run
+// call its stop function. Only that function may call it.
+func (a *Actors) StopAsked() time.Time {
+	return a.signals.awake.notBefore
+}
+
 // RunEvery calls work once per interval until the context ends. The first call
 // comes after one interval. It always returns nil.
 func RunEvery(ctx context.Context, interval time.Duration, work func(ctx context.Context)) error {
--- a/internal/conductor/signals.go
+++ b/internal/conductor/signals.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"k8s.io/klog/v2"
 )
@@ -23,6 +24,35 @@
 	hangups chan os.Signal
 	// stopping means that a signal has begun a shutdown.
 	stopping bool
+	awake    awakeTimes
+}
+
+const (
+	// awakeInterval is how often a process notes that it runs.
+	awakeInterval = 100 * time.Millisecond
+	// settleTime is how long after a time without a processor a signal may arrive that
+	// came in it.
+	settleTime = 300 * time.Millisecond
+)
+
+// awakeTimes tell since when a process that notes every awakeInterval that it runs would
+// have noticed a signal.
+type awakeTimes struct {
+	// notBefore is a time after which a signal must have been sent that arrives now.
+	notBefore, last, wokeAt time.Time
+}
+
+func (a *awakeTimes) note(now time.Time) {
+	switch {
+	case now.Sub(a.last) > 2*awakeInterval:
+		if now.Sub(a.wokeAt) > settleTime {
+			a.notBefore = a.last
+		}
+		a.wokeAt = now
+	case now.Sub(a.wokeAt) > settleTime:
+		a.notBefore = a.last
+	}
+	a.last = now
 }
 
 // CatchSignals makes SIGTERM, interrupts and SIGHUP that come before Run wait for it.
@@ -41,6 +71,8 @@
 	if s.stops != nil {
 		return
 	}
+	s.awake.notBefore = time.Now()
+	s.awake.last = s.awake.notBefore
 	s.stops, s.hangups = make(chan os.Signal, signalBacklog), make(chan os.Signal, signalBacklog)
 	signal.Notify(s.stops, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(s.hangups, syscall.SIGHUP)
@@ -59,15 +91,24 @@
 // awaitStop waits for a signal to stop or for the end of the context. It returns
 // false if interrupted is closed first.
 func (s *signals) awaitStop(ctx context.Context, interrupted <-chan struct{}) bool {
-	select {
-	case <-interrupted:
-		return false
-	case <-ctx.Done():
-	case received := <-s.stops:
-		s.stopping = true
-		klog.InfoS("signal received", "signal", received.String())
+	timer := time.NewTimer(awakeInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-interrupted:
+			return false
+		case <-ctx.Done():
+			s.awake.notBefore = time.Now()
+			return true
+		case <-timer.C:
+			s.awake.note(time.Now())
+			timer.Reset(awakeInterval)
+		case received := <-s.stops:
+			s.stopping = true
+			klog.InfoS("signal received", "signal", received.String())
+			return true
+		}
 	}
-	return true
 }
 
 // watchStop logs the signals that come during a shutdown, until the context ends. An
--- a/internal/conductor/signals_test.go
+++ b/internal/conductor/signals_test.go
@@ -87,3 +87,35 @@
 	assert.NilError(t, actors.Run(ctx, func(context.Context) {}))
 	assert.Assert(t, endedBeforeLast)
 }
+
+// TestStopAskedIsNotAfterSignal has a signal come while a process starts, and has one that
+// gets no processor notice it together with the time that has passed.
+func TestStopAskedIsNotAfterSignal(t *testing.T) {
+	actors := &Actors{}
+	actors.CatchSignals()
+	sent := time.Now()
+	sendSignal(t, syscall.SIGTERM)
+	time.Sleep(signalWait)
+	assert.NilError(t, runUntilStopped(t, actors))
+	assert.Assert(t, !actors.StopAsked().After(sent))
+	for _, c := range []struct {
+		name      string
+		notes     []time.Duration
+		notBefore time.Duration
+	}{
+		{"prompt", []time.Duration{100, 200, 300}, 200},
+		{"late", []time.Duration{100, 200, 1200}, 200},
+		{"a while after that", []time.Duration{100, 200, 1200, 1300, 1400}, 200},
+		{"late twice", []time.Duration{100, 200, 1200, 1450}, 200},
+		{"long after that", []time.Duration{100, 200, 1200, 1300, 1400, 1500, 1600}, 1500},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			start := time.Unix(0, 0)
+			awake := awakeTimes{notBefore: start, last: start}
+			for _, at := range c.notes {
+				awake.note(start.Add(at * time.Millisecond))
+			}
+			assert.Equal(t, awake.notBefore, start.Add(c.notBefore*time.Millisecond))
+		})
+	}
+}
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -77,5 +77,5 @@
 		return opener.err
 	}
 	klog.InfoS("entry instance started", "name", settings.Name, "region", settings.Region, "callers", settings.CallerAddress.String())
-	return actors.Run(ctx, e.stop)
+	return actors.Run(ctx, func(ctx context.Context) { e.stop(ctx, actors.StopAsked()) })
 }
--- a/internal/launcher/entry_test.go
+++ b/internal/launcher/entry_test.go
@@ -56,3 +56,17 @@
 		assert.Assert(t, rejectAfter(c.limit) <= c.latest, "limit %v: %v", c.limit, rejectAfter(c.limit))
 	}
 }
+
+// TestLateNoticeOfSignalCutsRequests has an instance without a processor notice a signal up to
+// a second late: it must neither be killed at its limit, nor cut earlier what it may not.
+func TestLateNoticeOfSignalCutsRequests(t *testing.T) {
+	const exitTime = 250 * time.Millisecond
+	signal := time.Now()
+	for _, late := range []time.Duration{0, 100 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+		for _, sent := range []time.Duration{0, late / 2, late} {
+			end := stopEnd(signal.Add(-sent), signal.Add(late-sent), defaultStopLimit).Sub(signal)
+			assert.Assert(t, end <= defaultStopLimit-exitTime && end >= defaultStopLimit*5/6, "%v late, sent after %v: %v", late, sent, end)
+		}
+	}
+	assert.Equal(t, stopEnd(signal, signal, time.Second), signal.Add(time.Second-stopReserve))
+}
--- a/internal/launcher/stop.go
+++ b/internal/launcher/stop.go
@@ -29,6 +29,9 @@
 	// connections, also on a machine that is short of processor time.
 	stopReserve      = 800 * time.Millisecond
 	stopPollInterval = 50 * time.Millisecond
+	// minStopShare is the part of the limit before whose end no request may be cut,
+	// however late the instance noticed the signal.
+	minStopShare = 0.84
 	// stopIdleTime is how long a connection must have been idle before it is
 	// closed.
 	stopIdleTime = time.Second
@@ -40,21 +43,32 @@
 // stop shuts the instance down gracefully: it leaves the directory, goes on
 // serving while callers still use it, rejects new requests that could not end
 // in time, and closes its ports when the last request has ended or the stop limit is
-// reached.
-func (e *Entry) stop(ctx context.Context) {
+// reached. The signal may have been sent as early as asked.
+func (e *Entry) stop(ctx context.Context, asked time.Time) {
 	began := time.Now()
-	limit := cmp.Or(e.settings.StopLimit, defaultStopLimit) - stopReserve
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	limit := cmp.Or(e.settings.StopLimit, defaultStopLimit)
+	end := stopEnd(asked, began, limit)
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	klog.InfoS("stopping", "active", e.forwarder.ActiveRequests())
+	klog.InfoS("stopping", "active", e.forwarder.ActiveRequests(), "late-at-most", began.Sub(asked))
 	e.follower.Stop()
 	e.forwarder.CloseConnections()
-	conductor.Sleep(ctx, rejectAfter(limit))
-	e.forwarder.RefuseEndingAfter(began.Add(limit))
+	conductor.Sleep(ctx, time.Until(asked.Add(rejectAfter(limit-stopReserve))))
+	e.forwarder.RefuseEndingAfter(end)
 	for ctx.Err() == nil && (e.forwarder.ActiveRequests() > 0 || time.Since(began) < stopLinger || !e.callerPort.AllIdle(began, stopIdleTime)) {
 		conductor.Sleep(ctx, stopPollInterval)
 	}
-	e.closePorts(ctx, began)
+	e.closePorts(ctx, asked)
+}
+
+// stopEnd returns when a stop ends at the latest that was asked for at some time between
+// asked and began: before its limit if that can be, but not before minStopShare of it.
+func stopEnd(asked, began time.Time, limit time.Duration) time.Time {
+	early := asked.Add(limit - stopReserve)
+	if earliest := began.Add(min(limit-stopReserve, time.Duration(minStopShare*float64(limit)))); early.Before(earliest) {
+		return earliest
+	}
+	return early
 }
 
 // rejectAfter returns when a stop that lasts for limit at most begins to reject requests.
@@ -64,17 +78,17 @@
 
 // closePorts closes the ports of callers and relays, and reports the requests that are
 // still open when the context ends.
-func (e *Entry) closePorts(ctx context.Context, began time.Time) {
+func (e *Entry) closePorts(ctx context.Context, asked time.Time) {
 	requestsCtx, endRequests := context.WithCancel(context.WithoutCancel(ctx))
 	defer endRequests()
 	stopWaiting := context.AfterFunc(ctx, func() {
-		e.reportEnded(began) // before they end
+		e.reportEnded(asked) // before they end
 		endRequests()
 	})
 	cut := closeAll(requestsCtx, e.callerPort, e.relayPort)
 	reason := stopReason(ctx)
 	stopWaiting()
-	klog.InfoS("stopped", "reason", reason, "active", e.forwarder.ActiveRequests(), "cut", cut, "took", time.Since(began))
+	klog.InfoS("stopped", "reason", reason, "active", e.forwarder.ActiveRequests(), "cut", cut, "took", time.Since(asked))
 }
 
 // stopReason returns why a stop ended: all requests were served, its limit was reached,
@@ -90,7 +104,7 @@
 }
 
 // reportEnded logs and counts the requests that are open when a stop reaches its end.
-func (e *Entry) reportEnded(began time.Time) {
+func (e *Entry) reportEnded(asked time.Time) {
 	now := time.Now()
 	open := e.forwarder.OpenRequests()
 	slices.SortFunc(open, func(a, b forwarder.OpenRequest) int { return a.Arrived.Compare(b.Arrived) })
@@ -100,7 +114,7 @@
 		e.counters.Count("requests-ended-by-stop-" + request.Phase)
 		if i < maxEndedLines {
 			klog.InfoS("request ended by the stop", "id", request.ID, "phase", request.Phase, "age", now.Sub(request.Arrived),
-				"stopping-for", now.Sub(began))
+				"stopping-for", now.Sub(asked))
 		}
 	}
 	klog.InfoS("requests ended by the stop", "count", len(open), "phases", countByPhase, "not-listed", max(len(open)-maxEndedLines, 0))
