conductor: callers that are slow to take an answer have half a second after the end of a stop

Cause: one time for all that was open at the end, 200 ms, which is enough for heads and bodies that are half read.

Fix: connections on which a request is being served have 500 ms; those on which one is only being read, 200 ms as before. Handlers that get the processor late have the same time for their 502 and 503.

TestCloseIdleSparesConnectionThatSends holds the phases of a connection that is new, idle or half read, which had no test of their own.

--- a/internal/conductor/connections.go
+++ b/internal/conductor/connections.go
@@ -193,6 +193,18 @@
 	return count
 }
 
+// Served returns the number of connections on which a request is being served.
+func (c *ConnTracker) Served() (count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, tracked := range c.openConns {
+		if tracked.state == http.StateActive {
+			count++
+		}
+	}
+	return count
+}
+
 // ResetUnframed closes the connections by a reset on which a response is being written that
 // an orderly close would complete.
 func (c *ConnTracker) ResetUnframed() {
--- a/internal/conductor/connections_test.go
+++ b/internal/conductor/connections_test.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -38,3 +39,41 @@
 		})
 	}
 }
+
+// TestCloseIdleSparesConnectionThatSends closes connections at some time after their last
+// change of state: none of which a byte has been read or waits to be read.
+func TestCloseIdleSparesConnectionThatSends(t *testing.T) {
+	const sent = "GET / HTTP/1.1\r\n"
+	for _, c := range []struct {
+		name   string
+		state  http.ConnState
+		text   string
+		read   bool
+		after  time.Duration
+		closed bool
+	}{
+		{"just accepted", http.StateNew, "", false, minNewIdle / 2, false},
+		{"nothing sent", http.StateNew, "", false, minNewIdle, true},
+		{"head half read", http.StateNew, sent, true, time.Minute, false},
+		{"head not read yet", http.StateNew, sent, false, time.Minute, false},
+		{"just answered", http.StateIdle, "", false, minCloseIdle / 2, false},
+		{"idle", http.StateIdle, "", false, minCloseIdle, true},
+		{"next head not read yet", http.StateIdle, sent, false, time.Minute, false},
+		{"served", http.StateActive, "", false, time.Minute, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			caller, accepted := acceptOne(t)
+			var tracker ConnTracker
+			tracker.Track(accepted, c.state)
+			_, err := io.WriteString(caller, c.text)
+			assert.NilError(t, err)
+			if c.read {
+				_, err = accepted.Read(make([]byte, len(c.text)))
+				assert.NilError(t, err)
+			}
+			time.Sleep(minCloseIdle) // until what was sent has arrived
+			others := tracker.CloseIdle(time.Now().Add(c.after-minCloseIdle), minCloseIdle)
+			assert.Equal(t, others == 0, c.closed)
+		})
+	}
+}
--- a/internal/conductor/port.go
+++ b/internal/conductor/port.go
@@ -19,9 +19,12 @@
 	// minCloseIdle is how long a connection must have been idle before it is closed.
 	// A request that came together with the one before it is being served by then.
 	minCloseIdle = 50 * time.Millisecond
-	// answerTime is how long requests that are still open at the end of a shutdown
-	// have for a response that says so.
+	// answerTime is how long requests that are being read at the end of a shutdown have
+	// for a response that says so.
 	answerTime = 200 * time.Millisecond
+	// writeTime is how long those that are being served have for one, and callers to take
+	// the rest of a response.
+	writeTime = 500 * time.Millisecond
 )
 
 // ErrStopping is the cause with which the contexts of requests end that are still open
@@ -102,7 +105,7 @@
 // Shutdown also closes connections on which a request has just been read.
 //
 // When the context ends, the contexts of the requests that are still open end with
-// ErrStopping, and their handlers have answerTime to respond. Close returns
+// ErrStopping, and their handlers have writeTime to respond. Close returns
 // ErrRequestsCut if one has not.
 func (p *DrainableServer) Close(ctx context.Context, minIdle time.Duration) error {
 	p.CloseConnections()
@@ -118,10 +121,8 @@
 	for ctx.Err() == nil && p.conns.CloseIdle(time.Now(), minIdle) > 0 {
 		Sleep(ctx, idlePollInterval)
 	}
-	answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
-	defer cancel()
-	for answerCtx.Err() == nil && p.conns.CloseIdle(time.Now(), minCloseIdle) > 0 && p.conns.Active() > 0 {
-		Sleep(answerCtx, idlePollInterval)
+	for ended := time.Now(); p.conns.CloseIdle(time.Now(), minCloseIdle) > 0 && p.mayAnswer(time.Since(ended)); {
+		Sleep(context.Background(), idlePollInterval)
 	}
 	draining.Wait()
 	cut := p.conns.Active()
@@ -134,3 +135,9 @@
 	}
 	return nil
 }
+
+// mayAnswer reports whether requests may still be answered some time after the end of a
+// shutdown.
+func (p *DrainableServer) mayAnswer(after time.Duration) bool {
+	return p.conns.Active() > 0 && after < answerTime || p.conns.Served() > 0 && after < writeTime
+}
--- a/internal/conductor/port_test.go
+++ b/internal/conductor/port_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -95,3 +96,25 @@
 	cancel()
 	assert.Assert(t, errors.Is(port.Close(ctx, 0), ErrRequestsCut))
 }
+
+// TestSlowCallerLosesRestOfAnswer has a caller take the rest of a whole answer only some time
+// after the end of a stop.
+func TestSlowCallerLosesRestOfAnswer(t *testing.T) {
+	answer := make([]byte, 8<<20) // more than a connection buffers
+	port, conn, reader := startPort(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+		_, _ = w.Write(answer)
+	})
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: test\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = reader.Peek(1)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	closed := make(chan error, 1)
+	go func() { closed <- port.Close(ctx, 0) }()
+	time.Sleep(answerTime * 3 / 2)
+	_, body, _ := readResponse(t, reader)
+	assert.Equal(t, len(body), len(answer))
+	assert.NilError(t, <-closed)
+}
