forwarder: the phases of a request at the end of a stop have tests of their own, also relayed

TestRequestsOpenAtEndOfStopAreAnswered ends a stop while a request is read, waits for a definition or a server, is at a server or streams; relayed from another instance, and relayed away. TestStoppingInstanceRefusesRelaysThatMayOutlastIt has the relaying instance serve what the stopping one refuses.

Shown on a scratch copy: the tests fail if giveUp does not look for a stop, waits do not end with it, a relayed request is not refused, its end says not run, or a broken stream ends as if complete.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -69,14 +69,16 @@
 	// relayRegion, unless empty, is tried once before the servers.
 	relayRegion  string
 	relayAddress netip.AddrPort
-	mu           sync.Mutex
-	charged      float64
-	outcomes     []placer.Outcome
+	// starting makes the instance wait for a definition and for servers.
+	starting bool
+	mu       sync.Mutex
+	charged  float64
+	outcomes []placer.Outcome
 }
 
 func (f *testFleet) View() *definer.View             { return f.view }
 func (f *testFleet) Region() string                  { return "north" }
-func (f *testFleet) RecentlyStarted() bool           { return false }
+func (f *testFleet) RecentlyStarted() bool           { return f.starting }
 func (f *testFleet) InstanceCount() int              { return 2 }
 func (f *testFleet) DefinitionBehind() time.Duration { return 0 }
 func (f *testFleet) RecordFirstEvent(uint64)         {}
--- a/internal/forwarder/stop_test.go
+++ b/internal/forwarder/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -20,12 +21,27 @@
 func newStoppableGateway(t *testing.T, handler http.HandlerFunc) (*testGateway, *Forwarder, *conductor.DrainableServer) {
 	g := newTestGateway(t, definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}, handler)
 	f := New(testDialect{}, g.fleet, measurer.New(), retryLimit)
-	port, err := conductor.NewPort(&http.Server{Handler: f, ReadHeaderTimeout: time.Minute}, "127.0.0.1:0")
+	port := servePort(t, f)
+	g.server.URL = "http://" + port.Listener.Addr().String()
+	return g, f, port
+}
+
+func servePort(t *testing.T, handler http.Handler) *conductor.DrainableServer {
+	port, err := conductor.NewPort(&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, "127.0.0.1:0")
 	assert.NilError(t, err)
 	go func() { _ = port.Server.Serve(port.Listener) }() // returns when the port is closed
 	t.Cleanup(func() { _ = port.Server.Close() })
-	g.server.URL = "http://" + port.Listener.Addr().String()
-	return g, f, port
+	return port
+}
+
+// stopsRelays returns a gateway that relays to another one, as to another region, whose
+// forwarder and port of relays it returns too.
+func stopsRelays(t *testing.T, to *testGateway) (*testGateway, *Forwarder, *conductor.DrainableServer) {
+	from := newTestGateway(t, definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1})
+	f := New(testDialect{}, to.fleet, measurer.New(), retryLimit)
+	port := servePort(t, f.RelayHandler())
+	from.fleet.relayRegion, from.fleet.relayAddress = "south", netip.MustParseAddrPort(port.Listener.Addr().String())
+	return from, f, port
 }
 
 // TestStoppingInstanceRefusesRequestsThatMayOutlastIt sends requests whose deadline is
@@ -48,9 +64,24 @@
 	assert.Equal(t, g.serverRequests.Load(), int32(1))
 }
 
+// TestStoppingInstanceRefusesRelaysThatMayOutlastIt has the instance that relays get its
+// request back as not run, and serve it itself.
+func TestStoppingInstanceRefusesRelaysThatMayOutlastIt(t *testing.T) {
+	to := newTestGateway(t, onceRoute, respond(http.StatusOK, "relayed"))
+	from, f, _ := stopsRelays(t, to)
+	f.RefuseEndingAfter(time.Now().Add(2 * time.Second))
+	from.fleet.servers = newTestGateway(t, onceRoute, respond(http.StatusOK, "own")).fleet.servers
+	for _, c := range []struct{ patience, body string }{{"1s", "relayed"}, {"3s", "own"}} {
+		status, body, err := from.do("POST", "/a", "x", "Patience", c.patience)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, c.body, c.patience)
+	}
+}
+
 // writeHalfRequest sends the head and a chunk of a request that has another chunk.
-func writeHalfRequest(t *testing.T, port *conductor.DrainableServer) net.Conn {
-	conn, err := net.Dial("tcp", port.Listener.Addr().String())
+func writeHalfRequest(t *testing.T, address string) net.Conn {
+	conn, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	_, err = io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: gateway\r\nId: r1\r\nKey: key-one\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
@@ -70,18 +101,25 @@
 }
 
 func readStatus(t *testing.T, conn net.Conn) int {
+	status, _ := readAnswer(t, conn)
+	return status
+}
+
+// readAnswer returns the status of a response and whether it is complete.
+func readAnswer(t *testing.T, conn net.Conn) (status int, complete bool) {
 	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	assert.NilError(t, err)
-	_ = response.Body.Close()
-	return response.StatusCode
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err == nil
 }
 
 // TestRequestWhoseBodyEndsDuringStopIsRefused has a stop begin between the head of a
 // request and the end of its body.
 func TestRequestWhoseBodyEndsDuringStopIsRefused(t *testing.T) {
 	g, f, port := newStoppableGateway(t, respond(http.StatusOK, "answer"))
-	conn := writeHalfRequest(t, port)
+	conn := writeHalfRequest(t, port.Listener.Addr().String())
 	waitForPhase(t, f, "body")
 	f.RefuseEndingAfter(time.Now().Add(time.Second))
 	_, err := io.WriteString(conn, "3\r\ndef\r\n0\r\n\r\n")
@@ -90,33 +128,84 @@
 	assert.Equal(t, g.serverRequests.Load(), int32(0))
 }
 
-// TestRequestsOpenAtEndOfStopAreAnswered ends a stop while a request is being read, and
-// while its server works.
+// TestRequestsOpenAtEndOfStopAreAnswered ends a stop while a request is in each of its
+// phases at the instance that stops, whose caller may be another instance.
 func TestRequestsOpenAtEndOfStopAreAnswered(t *testing.T) {
+	const rest = "0\r\n\r\n"
+	hang := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	streamAndHang := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		respondEvents(1, 1, true)(w, r)
+		<-r.Context().Done()
+	}
 	for _, c := range []struct {
-		phase, rest string
-		status      int
+		name, phase, rest string
+		server            http.HandlerFunc
+		// relayed is "here" for a request that another instance relays to this one, and
+		// "away" for the opposite.
+		relayed  string
+		starting bool
+		status   int
+		cut      bool
 	}{
-		{"body", "", http.StatusServiceUnavailable}, {"server", "0\r\n\r\n", http.StatusBadGateway},
+		{name: "body", phase: "body", server: hang, status: http.StatusServiceUnavailable},
+		{name: "wait for definition", phase: "checks", rest: rest, starting: true, status: http.StatusServiceUnavailable},
+		{name: "wait for server", phase: "choice", rest: rest, starting: true, status: http.StatusServiceUnavailable},
+		{name: "server", phase: "server", rest: rest, server: hang, status: http.StatusBadGateway},
+		{name: "stream", phase: "answer", rest: rest, server: streamAndHang, status: http.StatusOK, cut: true},
+		{name: "relayed here, wait for server", phase: "choice", rest: rest, relayed: "here", starting: true, status: http.StatusServiceUnavailable},
+		{name: "relayed here, server", phase: "server", rest: rest, server: hang, relayed: "here", status: http.StatusBadGateway},
+		{name: "relayed here, stream", phase: "answer", rest: rest, server: streamAndHang, relayed: "here", status: http.StatusOK, cut: true},
+		{name: "relayed away, server", phase: "relay", rest: rest, server: hang, relayed: "away", status: http.StatusBadGateway},
+		{name: "relayed away, stream", phase: "answer", rest: rest, server: streamAndHang, relayed: "away", status: http.StatusOK, cut: true},
 	} {
-		t.Run(c.phase, func(t *testing.T) {
+		t.Run(c.name, func(t *testing.T) {
 			reached := make(chan struct{})
-			_, f, port := newStoppableGateway(t, func(_ http.ResponseWriter, r *http.Request) {
-				_, _ = io.Copy(io.Discard, r.Body)
-				close(reached)
-				<-r.Context().Done()
-			})
-			conn := writeHalfRequest(t, port)
+			servers := newTestGateway(t, onceRoute)
+			if c.server != nil {
+				servers = newTestGateway(t, onceRoute, func(w http.ResponseWriter, r *http.Request) {
+					close(reached)
+					c.server(w, r)
+				})
+			}
+			servers.fleet.starting = c.starting
+			caller := servers
+			var f *Forwarder
+			var port *conductor.DrainableServer
+			switch c.relayed {
+			case "here":
+				caller, f, port = stopsRelays(t, servers)
+			case "away":
+				from, _, _ := stopsRelays(t, servers)
+				f = New(testDialect{}, from.fleet, measurer.New(), retryLimit)
+				port = servePort(t, f)
+			default:
+				if c.phase == "checks" {
+					servers.fleet.view = nil
+				}
+				f = New(testDialect{}, servers.fleet, measurer.New(), retryLimit)
+				port = servePort(t, f)
+			}
+			address := port.Listener.Addr().String()
+			if c.relayed == "here" {
+				address = caller.server.Listener.Addr().String()
+			}
+			conn := writeHalfRequest(t, address)
 			_, err := io.WriteString(conn, c.rest)
 			assert.NilError(t, err)
 			waitForPhase(t, f, c.phase)
-			if c.phase == "server" {
+			if c.server != nil && c.rest != "" {
 				<-reached // until then, the request may be refused as not run
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			cancel()
 			assert.NilError(t, port.Close(ctx, 0))
-			assert.Equal(t, readStatus(t, conn), c.status)
+			status, complete := readAnswer(t, conn)
+			assert.Equal(t, status, c.status)
+			assert.Equal(t, complete, !c.cut)
 		})
 	}
 }
