launcher: a stopping instance takes no new connections in the last moments before its end

What callers saw: requests on new connections that were closed without an answer at the end of a stop, up to 0.9 s after their last byte, and not run.

Cause: while one long stream was open, the ports stayed open until the end of the stop, though requests with a longer deadline were only refused. What arrived in the last moments had to be read, refused and written within the 0.2 to 0.5 s that are left, which a process does not do that gets the processor late.

Fix: the ports of callers and relays close 4.5 s after the stop began, also while requests are open; the connections stay in use. Callers that connect later are refused by the kernel and go elsewhere at once. Listener.Drain can be called more than once.

--- a/internal/conductor/listener.go
+++ b/internal/conductor/listener.go
@@ -115,12 +115,11 @@
 // have opened. Callers that connect in the last moments of it are refused. It waits until
 // the listener is closed, or until the context has ended and drainLimit has passed; only for
 // drainLimit if new connections cannot be kept out. Accept must be running in another
-// goroutine.
+// goroutine. Drain may be called more than once.
 func (l *Listener) Drain(ctx context.Context) {
-	if l.draining.Swap(true) {
-		return
+	if !l.draining.Swap(true) {
+		_ = l.SetDeadline(time.Now()) // wakes Accept
 	}
-	_ = l.SetDeadline(time.Now()) // wakes Accept
 	if l.awaitDrainedFor(arrivalLimit) {
 		return
 	}
--- a/internal/launcher/entry_test.go
+++ b/internal/launcher/entry_test.go
@@ -12,6 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/boragehead/boragehead/internal/conductor"
+	"github.com/boragehead/boragehead/internal/forwarder"
+	"github.com/boragehead/boragehead/internal/measurer"
 )
 
 // TestStopCutsRequestThatArrivesWhilePortCloses has a caller connect just before the
@@ -40,6 +42,47 @@
 	assert.Assert(t, strings.HasSuffix(string(text), "complete"), "%q", text)
 }
 
+// TestStopCutsRelayedRequest closes the ports while each of them serves a request, which
+// arrives from a caller or from another instance. New connections must be refused before the
+// last moments, in which a process without a processor cannot answer them.
+func TestStopCutsRelayedRequest(t *testing.T) {
+	begun := make(chan struct{}, 2)
+	serve := func(work time.Duration) (*conductor.DrainableServer, net.Conn) {
+		port, err := conductor.NewPort(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			begun <- struct{}{}
+			time.Sleep(work)
+			_, _ = io.WriteString(w, "complete")
+		})}, "127.0.0.1:0")
+		assert.NilError(t, err)
+		go func() { _ = port.Server.Serve(port.Listener) }() // returns when the port is closed
+		conn, err := net.Dial("tcp", port.Listener.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: test\r\n\r\n")
+		assert.NilError(t, err)
+		<-begun
+		return port, conn
+	}
+	e := &Entry{counters: measurer.New(), forwarder: forwarder.New(nil, nil, measurer.New(), forwarder.RetryLimit{})}
+	var conns [2]net.Conn
+	e.callerPort, conns[0] = serve(stopReserve / 2)
+	e.relayPort, conns[1] = serve(stopReserve)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*stopReserve)
+	defer cancel()
+	e.awaitLast(ctx, time.Now().Add(-stopLinger))
+	for _, conn := range conns {
+		_, err := net.Dial("tcp", conn.RemoteAddr().String())
+		assert.ErrorContains(t, err, "refused")
+	}
+	e.closePorts(ctx, time.Now())
+	_, _ = e.callerPort.Server.Close(), e.relayPort.Server.Close() // as the process does when it ends
+	for _, conn := range conns {
+		text, err := io.ReadAll(conn)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasSuffix(string(text), "complete"), "%q", text)
+	}
+}
+
 // TestStopCutsRequestSentThreeSecondsAfterSignal guards against requests that are taken
 // until the stop itself counts 3 s, or until the end of a short stop.
 func TestStopCutsRequestSentThreeSecondsAfterSignal(t *testing.T) {
--- a/internal/launcher/stop.go
+++ b/internal/launcher/stop.go
@@ -22,8 +22,9 @@
 	// after the end of the stop. What is sent 3 s after the signal must not be cut, and the
 	// instance may notice the signal late.
 	stopRejectAfter = 2750 * time.Millisecond
-	// stopLinger is how long the instance accepts connections at least. It is
-	// longer than callers may cache a directory that still lists the instance.
+	// stopLinger is how long the instance accepts connections. It is longer than most
+	// callers cache a directory that still lists the instance. After it, most requests are
+	// refused anyway, and none must arrive in the last moments.
 	stopLinger = 4500 * time.Millisecond
 	// stopReserve is the time before the limit that is kept for closing
 	// connections, also on a machine that is short of processor time.
@@ -55,9 +56,7 @@
 	e.forwarder.CloseConnections()
 	conductor.Sleep(ctx, time.Until(asked.Add(rejectAfter(limit-stopReserve))))
 	e.forwarder.RefuseEndingAfter(end)
-	for ctx.Err() == nil && (e.forwarder.ActiveRequests() > 0 || time.Since(began) < stopLinger || !e.callerPort.AllIdle(began, stopIdleTime)) {
-		conductor.Sleep(ctx, stopPollInterval)
-	}
+	e.awaitLast(ctx, began)
 	e.closePorts(ctx, asked)
 }
 
@@ -76,6 +75,20 @@
 	return min(stopRejectAfter, limit/2)
 }
 
+// awaitLast accepts connections until stopLinger after a stop began, and then waits until the
+// last request has ended.
+func (e *Entry) awaitLast(ctx context.Context, began time.Time) {
+	conductor.Sleep(ctx, time.Until(began.Add(stopLinger)))
+	var draining sync.WaitGroup
+	for _, port := range []*conductor.DrainableServer{e.callerPort, e.relayPort} {
+		draining.Go(func() { port.Listener.Drain(ctx) })
+	}
+	draining.Wait()
+	for ctx.Err() == nil && (e.forwarder.ActiveRequests() > 0 || !e.callerPort.AllIdle(began, stopIdleTime)) {
+		conductor.Sleep(ctx, stopPollInterval)
+	}
+}
+
 // closePorts closes the ports of callers and relays, and reports the requests that are
 // still open when the context ends.
 func (e *Entry) closePorts(ctx context.Context, asked time.Time) {
