forwarder: a request with a slow body is handled by the definition in force once it is whole

Callers saw: a request on a route or with a key that had been dropped ran, one on a route that had been moved ran at the old service, and one on a route that needs no key any more was charged, though the same process had already shown the newer version to others. Cause: a call was decided when its head had arrived and was not asked again when its body had, up to the route's timeout later; a relayed call neither. A call whose definition was replaced while its body was under way is decided again, as if it had arrived then; the view is compared by its pointer, so that others pay nothing.

--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return &Refusal{Status: http.StatusNotFound, Reason: "no-route"}
 	}
-	call.Route = route // streamName needs it
+	call.Route, call.Workspace = route, nil // streamName needs the route
 	if view.RequiresKey() && !route.Open {
 		if call.Workspace, err = view.WorkspaceByKey(call.Key); err != nil {
 			return &Refusal{Status: http.StatusUnauthorized, Reason: "unknown-key"}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -297,6 +297,11 @@
 	case refusal != nil:
 		return refusal
 	}
+	if f.fleet.View() != view { // a slow body must not make the call one of the definition before
+		if _, refusal := f.resolve(call); refusal != nil {
+			return refusal
+		}
+	}
 	if refusal := f.stoppingRefusal(call); refusal != nil { // the stop may have begun since
 		return refusal
 	}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -234,21 +234,17 @@
 	if refusal := f.stoppingRefusal(call); refusal != nil {
 		return refusal
 	}
-	if !f.mayServeHere(call) {
-		moved := call.homesVersion > call.record.definitionVersion
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "not-home", HomesMoved: moved}
-	}
-	if f.isDecidedOtherwise(call) {
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "decided-otherwise", HomesMoved: true}
-	}
-	if f.isOutdated(call) {
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: reasonDefinitionBehind, RetryAfter: behindRetryAfter}
+	if refusal := f.relayedRefusal(call); refusal != nil {
+		return refusal
 	}
 	size, refusal := f.readBody(w, call, call.maxBody)
 	defer f.bodyMemory.release(size)
 	if refusal == nil {
 		refusal = f.stoppingRefusal(call)
 	}
+	if refusal == nil { // a newer definition may have come into force since
+		refusal = f.relayedRefusal(call)
+	}
 	if refusal != nil {
 		return refusal
 	}
@@ -257,6 +253,22 @@
 	return f.forward(ctx, w, call)
 }
 
+// relayedRefusal refuses a relayed call that may not be served here, or not as the
+// relaying instance has decided. It returns nil for others.
+func (f *Forwarder) relayedRefusal(call *Call) *Refusal {
+	if !f.mayServeHere(call) {
+		moved := call.homesVersion > call.record.definitionVersion
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "not-home", HomesMoved: moved}
+	}
+	if f.isDecidedOtherwise(call) {
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "decided-otherwise", HomesMoved: true}
+	}
+	if f.isOutdated(call) {
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: reasonDefinitionBehind, RetryAfter: behindRetryAfter}
+	}
+	return nil
+}
+
 // isDecidedOtherwise reports whether this instance's definition is newer than the one
 // by which a relayed call was decided, and has no such route any more or sends it to
 // other services.
