launcher: a stop whose signal may be old takes nothing that ends after its process may be killed

Cause: the end of a stop that is noticed late lies after the time at which the process may be killed, and it was also the latest deadline of what is taken. New connections were taken until 4.5 s after the notice.

Fix: both count from the earliest time at which the signal may have been sent; in a process that runs, that is 0.1 to 0.2 s before the notice.

--- a/internal/launcher/entry_test.go
+++ b/internal/launcher/entry_test.go
@@ -69,7 +69,7 @@
 	e.relayPort, conns[1] = serve(stopReserve)
 	ctx, cancel := context.WithTimeout(t.Context(), 10*stopReserve)
 	defer cancel()
-	e.awaitLast(ctx, time.Now().Add(-stopLinger))
+	e.awaitLast(ctx, time.Now().Add(-stopLinger), time.Now()) // the signal was noticed late
 	for _, conn := range conns {
 		_, err := net.Dial("tcp", conn.RemoteAddr().String())
 		assert.ErrorContains(t, err, "refused")
--- a/internal/launcher/stop.go
+++ b/internal/launcher/stop.go
@@ -55,8 +55,8 @@
 	e.follower.Stop()
 	e.forwarder.CloseConnections()
 	conductor.Sleep(ctx, time.Until(asked.Add(rejectAfter(limit-stopReserve))))
-	e.forwarder.RefuseEndingAfter(end)
-	e.awaitLast(ctx, began)
+	e.forwarder.RefuseEndingAfter(asked.Add(limit - stopReserve)) // after it, the process may be killed
+	e.awaitLast(ctx, asked, began)
 	e.closePorts(ctx, asked)
 }
 
@@ -75,10 +75,10 @@
 	return min(stopRejectAfter, limit/2)
 }
 
-// awaitLast accepts connections until stopLinger after a stop began, and then waits until the
-// last request has ended.
-func (e *Entry) awaitLast(ctx context.Context, began time.Time) {
-	conductor.Sleep(ctx, time.Until(began.Add(stopLinger)))
+// awaitLast accepts connections until stopLinger after a stop was asked for, and then waits
+// until the last request has ended.
+func (e *Entry) awaitLast(ctx context.Context, asked, began time.Time) {
+	conductor.Sleep(ctx, time.Until(asked.Add(stopLinger)))
 	var draining sync.WaitGroup
 	for _, port := range []*conductor.DrainableServer{e.callerPort, e.relayPort} {
 		draining.Go(func() { port.Listener.Drain(ctx) })
