forwarder: a body that takes longer than the objective is not refused as overloaded

Callers saw: 503 overloaded from idle instances whenever their body took longer than the route's target latency, and again when they came back; with short targets and bodies in chunks a route is served less than others however few use it. Cause: the time to the objective counted from the arrival of the head, so that none was left when a server was chosen, and a wait of any length exceeded it. For the choice of a server the objective counts from when the request is whole: a caller who sends slowly is no sign of load.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -105,13 +105,22 @@
 	return f.sendToServer(ctx, out, id, decision)
 }
 
-func (f *Forwarder) placementRequest(call *Call) placer.Request {
-	objective := call.Deadline
-	if call.Route.Objective > 0 {
-		objective = call.Arrived.Add(call.Route.Objective)
+// objective returns when a call should be answered. It counts from when the request was
+// whole: a caller who sends slowly is no sign of load.
+func (call *Call) objective() time.Time {
+	if call.Route.Objective <= 0 {
+		return call.Deadline
+	}
+	whole := call.Arrived
+	if call.bodyRead.After(whole) {
+		whole = call.bodyRead
 	}
+	return whole.Add(call.Route.Objective)
+}
+
+func (f *Forwarder) placementRequest(call *Call) placer.Request {
 	return placer.Request{
-		Service: call.Service, Work: call.Work, Objective: objective, Deadline: call.Deadline,
+		Service: call.Service, Work: call.Work, Objective: call.objective(), Deadline: call.Deadline,
 		LocalOnly: call.Relayed, Urgency: call.Route.Priority, TakesUp: call.takesUp(),
 	}
 }
--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -100,7 +100,7 @@
 	case err != nil:
 		return size, &Refusal{Status: http.StatusBadRequest, Reason: "body-incomplete"}
 	}
-	call.Body = buffer.Bytes()
+	call.Body, call.bodyRead = buffer.Bytes(), time.Now()
 	return size, nil
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -42,7 +42,10 @@
 
 	Request *http.Request
 	Body    []byte
-	Arrived time.Time
+	// Arrived is when the head of the request had arrived, and bodyRead when its body had;
+	// zero until then.
+	Arrived  time.Time
+	bodyRead time.Time
 
 	// The routing decisions follow. They are made by resolveCall or, for relayed
 	// calls, by the instance that relayed them.
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -160,13 +160,9 @@
 		// The other instance needs only the name; the keys stay here.
 		workspace = &definer.Workspace{Name: workspace.Name}
 	}
-	untilObjective := time.Until(call.Deadline)
-	if call.Route.Objective > 0 {
-		untilObjective = time.Until(call.Arrived.Add(call.Route.Objective))
-	}
 	data, err := cbor.Marshal(relayedCall{
 		ID: call.ID, Route: *call.Route, Service: *call.Service, Workspace: workspace, Version: call.record.definitionVersion,
-		Work: call.Work, AttemptsLeft: attemptsLeft, Urgency: call.Urgency, UntilDeadline: time.Until(call.Deadline), UntilObjective: untilObjective,
+		Work: call.Work, AttemptsLeft: attemptsLeft, Urgency: call.Urgency, UntilDeadline: time.Until(call.Deadline), UntilObjective: time.Until(call.objective()),
 		LastEvent: lastEvent, Homes: call.HomeRegions, Bound: call.HomeRegionsOnly, Probe: call.probe, MaxBody: call.maxBody, StreamVersion: version,
 	})
 	return base64.StdEncoding.EncodeToString(data), err
--- a/internal/forwarder/slowbody_test.go
+++ b/internal/forwarder/slowbody_test.go
@@ -14,17 +14,35 @@
 	"github.com/boragehead/boragehead/internal/placer"
 )
 
-// servicesFleet records the service of the last call that was placed.
+// servicesFleet records the service of the last call that was placed, and the time that was
+// left until its objective.
 type servicesFleet struct {
 	*movingFleet
-	service string
+	service        string
+	untilObjective time.Duration
 }
 
 func (f *servicesFleet) Place(request placer.Request) placer.Decision {
-	f.service = request.Service.Name
+	f.service, f.untilObjective = request.Service.Name, time.Until(request.Objective)
 	return f.movingFleet.Place(request)
 }
 
+// slowBodyTime is how long the body of slowBody takes.
+const slowBodyTime = 300 * time.Millisecond
+
+// slowBody returns a body that goes on after a while, before which it calls a function.
+func slowBody(beforeRest func()) io.ReadCloser {
+	body, rest := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(rest, "the beginning")
+		time.Sleep(slowBodyTime) // the call is decided meanwhile
+		beforeRest()
+		_, _ = io.WriteString(rest, " and the end")
+		_ = rest.Close()
+	}()
+	return body
+}
+
 // TestSlowBodyIsHandledByReplacedDefinition has a newer definition come into force while a
 // body is under way: what an instance does once it has the request whole must not be older
 // than what it did for others before.
@@ -53,16 +71,8 @@
 			next.Routes = append([]definer.Route{}, next.Routes...)
 			next.Services = append(next.Services, definer.Service{Name: "t"})
 			c.change(&next)
-			body, rest := io.Pipe()
 			request := g.newRequest(http.MethodPost, "/a", "")
-			request.Body, request.ContentLength, request.GetBody = body, -1, nil
-			go func() {
-				_, _ = io.WriteString(rest, "the beginning")
-				time.Sleep(50 * time.Millisecond) // the call is decided meanwhile
-				moving.current.Store(definer.NewView(next))
-				_, _ = io.WriteString(rest, " and the end")
-				_ = rest.Close()
-			}()
+			request.Body, request.ContentLength, request.GetBody = slowBody(func() { moving.current.Store(definer.NewView(next)) }), -1, nil
 			status, text := answerTo(t, request)
 			assert.Equal(t, status, c.status, text)
 			assert.Equal(t, fleet.service, c.service)
@@ -83,20 +93,41 @@
 	assert.NilError(t, err)
 	next := moving.View().Definition
 	next.Version, next.Routes = 2, nil
-	body, rest := io.Pipe()
-	request, err := http.NewRequest(http.MethodPost, server.URL, body)
+	request, err := http.NewRequest(http.MethodPost, server.URL, slowBody(func() { moving.current.Store(definer.NewView(next)) }))
 	assert.NilError(t, err)
 	request.Host = "gateway"
 	request.Header.Set(headerRelay, header)
-	go func() {
-		_, _ = io.WriteString(rest, "the beginning")
-		time.Sleep(50 * time.Millisecond) // the call is checked meanwhile
-		moving.current.Store(definer.NewView(next))
-		_ = rest.Close()
-	}()
 	response, err := http.DefaultClient.Do(request)
 	assert.NilError(t, err)
 	_ = response.Body.Close()
 	assert.Equal(t, response.Header.Get(headerReason), "decided-otherwise")
 	assert.Equal(t, response.Header.Get(headerOutcome), outcomeNotRun)
 }
+
+// TestSlowBodyIsRefusedAsOverloaded has the body of a call take longer than its objective.
+// The time that the caller takes is no load: an idle server refused the call as overloaded.
+func TestSlowBodyIsRefusedAsOverloaded(t *testing.T) {
+	const objective = 2 * slowBodyTime / 3
+	for _, relay := range []bool{false, true} {
+		t.Run(map[bool]string{false: "caller", true: "relay"}[relay], func(t *testing.T) {
+			route := onceRoute
+			route.Objective = objective
+			g, moving := newMovingGateway(t, route, nil, respond(200, "whole"))
+			fleet := &servicesFleet{movingFleet: moving}
+			forwarder := New(testDialect{}, fleet, measurer.New(), retryLimit)
+			g.server.Config.Handler = forwarder
+			request := g.newRequest(http.MethodPost, "/a", "")
+			request.Body, request.ContentLength, request.GetBody = slowBody(func() {}), -1, nil
+			if relay {
+				g.server.Config.Handler = forwarder.RelayHandler()
+				call := &Call{ID: "r1", Route: &moving.View().Routes[0], Service: &moving.View().Services[0], Arrived: time.Now(), Deadline: time.Now().Add(time.Second)}
+				header, err := encodeRelayedCall(call, "", "", 1)
+				assert.NilError(t, err)
+				request.Header.Set(headerRelay, header)
+			}
+			status, text := answerTo(t, request)
+			assert.Equal(t, status, 200, text)
+			assert.Assert(t, fleet.untilObjective > 0, "%v", fleet.untilObjective)
+		})
+	}
+}
