--- a/internal/conductor/listener.go
+++ b/internal/conductor/listener.go
@@ -59,6 +59,19 @@
 	}, nil
 }
 
+// acceptError is an error of an open listener. Servers of net/http end at most of them, such
+// as a lack of memory for sockets, unless they are temporary.
+type acceptError struct{ error }
+
+// Unwrap returns the listener's own error.
+func (e acceptError) Unwrap() error { return e.error }
+
+// Timeout implements net.Error.
+func (e acceptError) Timeout() bool { return false }
+
+// Temporary implements net.Error.
+func (e acceptError) Temporary() bool { return true }
+
 // Accept returns the next connection. Once the listener is drained, it blocks
 // until Close is called and returns net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -76,8 +89,11 @@
 		if err == nil {
 			return newPortConn(conn), nil
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return nil, err
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, acceptError{err}
 		}
 		// A passed deadline ends Accept without a look at the connections that wait.
 		if !draining || time.Since(now) < idleTime || isReadable(l) {
@@ -92,13 +108,18 @@
 // isReadable reports whether connections wait to be accepted on a listener, or bytes or the
 // end of the stream to be read from a connection.
 func isReadable(socket syscall.Conn) bool {
+	return polls(socket, unix.POLLIN)
+}
+
+// polls reports whether one of the events of poll(2) holds for a socket, or an error.
+func polls(socket syscall.Conn, events int16) bool {
 	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
 	count := 0
 	err = raw.Control(func(descriptor uintptr) {
-		count, err = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
+		count, err = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: events}}, 0)
 	})
 	return err == nil && count > 0
 }
@@ -115,12 +136,11 @@
 // have opened. Callers that connect in the last moments of it are refused. It waits until
 // the listener is closed, or until the context has ended and drainLimit has passed; only for
 // drainLimit if new connections cannot be kept out. Accept must be running in another
-// goroutine.
+// goroutine. Drain may be called more than once.
 func (l *Listener) Drain(ctx context.Context) {
-	if l.draining.Swap(true) {
-		return
+	if !l.draining.Swap(true) {
+		_ = l.SetDeadline(time.Now()) // wakes Accept
 	}
-	_ = l.SetDeadline(time.Now()) // wakes Accept
 	if l.awaitDrainedFor(arrivalLimit) {
 		return
 	}
--- a/internal/forwarder/relay_test.go
+++ b/internal/forwarder/relay_test.go
@@ -1,11 +1,13 @@
 package forwarder
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,6 +69,43 @@
 	}
 }
 
+// TestStreamThatBreaksTwiceRunsOnThreeServers has another region resume a relayed stream
+// after its first events are here, so that the head of its response counts one server only.
+func TestStreamThatBreaksTwiceRunsOnThreeServers(t *testing.T) {
+	first, second, rest := respondEvents(1, 2, false), respondEvents(3, 4, false), respondEvents(5, 6, true)
+	tests := []struct {
+		name     string
+		attempts int
+		remote   []http.HandlerFunc
+		local    http.HandlerFunc
+		// remoteRequests are those that servers of the other region got.
+		remoteRequests, localRequests int32
+		body                          string
+		complete                      bool
+	}{
+		{"resumed there, both attempts used", 2, []http.HandlerFunc{first, second}, rest, 2, 0, eventsText(4), false},
+		{"resumed there, one attempt left", 3, []http.HandlerFunc{first, second}, rest, 2, 1, eventsText(6), true},
+		{"resumed there to the end", 2, []http.HandlerFunc{first, respondEvents(3, 6, true)}, rest, 2, 0, eventsText(6), true},
+		{"resumed there in vain", 2, []http.HandlerFunc{first, respondRaw("")}, rest, 2, 0, eventsText(2), false},
+		{"no second server there", 2, []http.HandlerFunc{first}, respondEvents(3, 6, true), 1, 1, eventsText(6), true},
+		{"second server there declines", 2, []http.HandlerFunc{first, decline}, respondEvents(3, 6, true), 2, 1, eventsText(6), true},
+		{"second server there declines, third resumes", 2, []http.HandlerFunc{first, decline, second}, rest, 3, 0, eventsText(4), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			route := definer.Route{Kind: definer.KindStream, Attempts: test.attempts, Resumable: true}
+			local, remote := newTestGateway(t, route, test.local), newTestGateway(t, route, test.remote...)
+			relayTo(t, local, remote, retryLimit)
+			status, body, err := local.do("POST", "/a", "x")
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, body, test.body)
+			assert.Equal(t, err == nil, test.complete, "whether the stream looks complete")
+			assert.Equal(t, remote.serverRequests.Load(), test.remoteRequests)
+			assert.Equal(t, local.serverRequests.Load(), test.localRequests)
+		})
+	}
+}
+
 // TestUnofferedRelayCostsNoRetry runs without a retry budget. After a region
 // refused a request without offering it to a server, the next attempt must not
 // need the budget.
@@ -129,3 +168,39 @@
 	assert.NilError(t, err)
 	assert.Equal(t, status, 200, body)
 }
+
+// TestRefusedRelayClosesConnection relays requests that the other instance refuses. Only the
+// rest of a body may cost the connection on which it would follow.
+func TestRefusedRelayClosesConnection(t *testing.T) {
+	tests := []struct {
+		name, method, body string
+		homes              []string
+	}{
+		{"no server, no body", http.MethodGet, "", nil},
+		{"no server, empty body", http.MethodPost, "", nil},
+		{"no server", http.MethodPost, "x", nil},
+		{"not home, no body", http.MethodGet, "", []string{"east"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			remote := newTestGateway(t, definer.Route{Homes: test.homes})
+			local := newTestGateway(t, definer.Route{Homes: test.homes}, respond(http.StatusOK, "local"))
+			var connections atomic.Int32
+			relays := httptest.NewUnstartedServer(New(testDialect{}, remote.fleet, measurer.New(), retryLimit).RelayHandler())
+			relays.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+				if state == http.StateNew {
+					connections.Add(1)
+				}
+			}
+			relays.Start()
+			t.Cleanup(relays.Close)
+			local.fleet.relayRegion, local.fleet.relayAddress = "south", netip.MustParseAddrPort(relays.Listener.Addr().String())
+			for range 3 {
+				status, text, err := local.do(test.method, "/a", test.body)
+				assert.NilError(t, err)
+				assert.Equal(t, status, http.StatusOK, text)
+			}
+			assert.Equal(t, connections.Load(), int32(1))
+		})
+	}
+}
--- a/internal/forwarder/repeatedrefusal_test.go
+++ b/internal/forwarder/repeatedrefusal_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -170,19 +171,47 @@
 }
 
 // TestUnsignedResponseBreaksOffOthers guards against closing a connection whose responses
-// are in order: the next request may be on it already.
+// are in order, as the next request may be on it already, and against keeping one whose
+// responses may not be.
 func TestUnsignedResponseBreaksOffOthers(t *testing.T) {
-	addresses := make(chan string, 2)
+	for _, named := range []bool{true, false} {
+		t.Run(fmt.Sprint("names the request: ", named), func(t *testing.T) {
+			addresses := make(chan string, 2)
+			g := newTestGateway(t, definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}, func(w http.ResponseWriter, r *http.Request) {
+				addresses <- r.RemoteAddr
+				if named {
+					w.Header().Set("Id", r.Header.Get("Id"))
+				}
+			})
+			for range cap(addresses) {
+				status, _, err := g.do("POST", "/a", "x")
+				assert.NilError(t, err)
+				assert.Equal(t, status, http.StatusBadGateway)
+			}
+			first, second := <-addresses, <-addresses
+			assert.Equal(t, first == second, named, "whether the connection is kept")
+		})
+	}
+}
+
+// TestRefusalOfAnsweredIDIsNotBelieved guards against a caller that is told nothing of a
+// request that was refused, since an earlier one with its id was answered on the connection.
+func TestRefusalOfAnsweredIDIsNotBelieved(t *testing.T) {
+	var requests atomic.Int32
 	g := newTestGateway(t, definer.Route{Kind: definer.KindAtMostOnce, Attempts: 1}, func(w http.ResponseWriter, r *http.Request) {
-		addresses <- r.RemoteAddr
+		if requests.Add(1) == 1 {
+			respond(200, "whole")(w, r)
+			return
+		}
 		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
 	})
-	for range cap(addresses) {
+	for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
 		status, _, err := g.do("POST", "/a", "x")
 		assert.NilError(t, err)
-		assert.Equal(t, status, http.StatusBadGateway)
+		assert.Equal(t, status, want)
 	}
-	assert.Equal(t, <-addresses, <-addresses)
 }
 
 // TestRequestIsLostOnDiscardedConnection guards against a request that gets a connection
@@ -208,3 +237,31 @@
 		assert.Equal(t, status, []int{http.StatusBadGateway, http.StatusOK}[number%2], "request %d", number)
 	}
 }
+
+// spentConn takes one request, and nothing after it.
+type spentConn struct {
+	net.Conn
+	writes atomic.Int32
+}
+
+func (c *spentConn) Write(data []byte) (int, error) {
+	if c.writes.Add(1) > 1 {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(data)
+}
+
+// TestRequestIsNotSentAgainThoughNothingWasWritten guards against the same without a race: the
+// kept connection fails at the first byte of the second request.
+func TestRequestIsNotSentAgainThoughNothingWasWritten(t *testing.T) {
+	g, forwarder := versionGateway(t, &fixedOrigins{versions: map[string]string{}}, "v1", respond(200, "whole"))
+	forwarder.serverTransport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return &spentConn{Conn: conn}, err
+	}
+	for range 2 {
+		status, body, err := g.do("POST", "/a", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK, "%s", body)
+	}
+}
