--- a/internal/runner/keys_test.go
+++ b/internal/runner/keys_test.go
@@ -37,6 +37,7 @@
 			streams[gate] = stream
 			return err
 		})
+		assert.NilError(t, <-streams[gate].firstLine)
 	}
 	withdrawnAt := time.Now()
 	outcome, err := f.client.WithdrawKey(context.Background(), "withdraw", id)
@@ -61,11 +62,12 @@
 	f.checkSecretNotExposed(secret)
 }
 
-// openStream is a response whose first line has arrived. Its rest is sent when
-// it has ended.
+// openStream is a response with status 200. How the read of its first line ended is sent
+// first, and its rest when it has ended.
 type openStream struct {
-	rest   <-chan streamRest
-	cancel context.CancelFunc
+	firstLine <-chan error
+	rest      <-chan streamRest
+	cancel    context.CancelFunc
 }
 
 type streamRest struct {
@@ -73,11 +75,10 @@
 	err  error
 }
 
-// openStream sends a streamed chat request and waits for the first line of its
-// response.
+// openStream sends a streamed chat request and waits for the head of its response.
 func (f *testFleet) openStream(gate, secret string) (openStream, error) {
 	ctx, cancel := context.WithCancel(f.t.Context())
-	opened, rest := make(chan error, 1), make(chan streamRest, 1)
+	opened, firstLine, rest := make(chan error, 1), make(chan error, 1), make(chan streamRest, 1)
 	go func() {
 		defer cancel()
 		response, err := f.startRequestContext(ctx, gate, secret, "/v1/chat/completions", chatBody, nil)
@@ -85,20 +86,22 @@
 			opened <- err
 			return
 		}
-		reader := bufio.NewReader(response.Body)
-		if response.StatusCode == http.StatusOK {
-			_, err = reader.ReadString('\n')
-		} else {
-			err = fmt.Errorf("status %d", response.StatusCode)
+		if response.StatusCode != http.StatusOK {
+			_ = response.Body.Close()
+			opened <- fmt.Errorf("status %d", response.StatusCode)
+			return
 		}
-		opened <- err
+		opened <- nil
+		reader := bufio.NewReader(response.Body)
+		_, err = reader.ReadString('\n')
+		firstLine <- err
 		text, err := io.ReadAll(reader)
 		if closeErr := response.Body.Close(); err == nil {
 			err = closeErr
 		}
 		rest <- streamRest{text: string(text), err: err}
 	}()
-	return openStream{rest: rest, cancel: cancel}, <-opened
+	return openStream{firstLine: firstLine, rest: rest, cancel: cancel}, <-opened
 }
 
 // checkSecretNotExposed checks that a secret does not appear in what backend
