controller: an order for a failure domain bears the revision that it was given for

Callers saw requests reach the servers of a failure domain whose closing was confirmed and not taken back: an older order to open it had waited in the socket of a control instance that stood still, and was carried out when that went on.

Cause: an order had neither a version nor an age, and was carried out when it came. Now its first call is answered with a redirect that names the revision of the last order for the domain, and the leader appends what follows only if that is still the last one; an order that confirms what is in force has a revision, too. The check is the leader's, in one term and for one order of a domain at a time, so that processes of two releases apply the same log in the same way. Two layers more are for clients that follow redirects after their operator has moved on: an instance that has just stood still takes no new orders, and an order that undoes one of the last 10 s must be sent again.

conductor.HasHungUp goes: no order depends on what a kernel says of a connection. Its case stays in TestOldOrderUndoesNewerOne, with the connection left open beside it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -20,6 +20,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/certifier"
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/definer"
 	"github.com/boragehead/boragehead/internal/journaler"
 	"github.com/boragehead/boragehead/internal/loader"
@@ -77,8 +78,18 @@
 	epoch int64
 	// readLogLimiter limits the log lines about reads of the definition.
 	readLogLimiter logger.RateLimiter
+	pauses         conductor.Pauses
+
+	mu sync.Mutex
+	// caughtUpTerm is the last term in which this instance led and had applied what was
+	// confirmed before it.
+	caughtUpTerm replicator.Term
+	// domainsInProgress are the failure domains with an order that this instance, as the
+	// leader, has appended and that has no outcome yet.
+	domainsInProgress map[string]bool
+	// refusedOrders holds when orders were refused that must be sent again.
+	refusedOrders map[refusedOrder]time.Time
 
-	mu      sync.Mutex
 	servers registrar.Table
 	peers   peerTable
 	// quarantine holds what entry instances reported of prompt parts that crash
@@ -119,7 +130,7 @@
 func New(settings loader.Control, decode Decoder, client *messenger.Client) (*Controller, error) {
 	c := &Controller{
 		settings: settings, decode: decode, client: client, machine: &stateMachine{},
-		epoch: time.Now().UnixNano(), changed: make(chan struct{}), quarantineDigests: map[string]uint64{},
+		epoch: time.Now().UnixNano(), changed: make(chan struct{}), quarantineDigests: map[string]uint64{}, domainsInProgress: map[string]bool{}, refusedOrders: map[refusedOrder]time.Time{},
 		origins: originKeeper{mixed: newMixedServices(nil, true)},
 	}
 	c.peers.seeds = settings.SeedPeers()
@@ -189,6 +200,7 @@
 		{Name: "quarantine", Run: c.runQuarantine},
 		{Name: "quarantine-file", Run: c.runSaveQuarantine},
 		{Name: "origins", Run: c.runOrigins},
+		{Name: "pauses", Run: c.pauses.Run},
 	}
 }
 
@@ -209,6 +221,7 @@
 	messenger.Handle(mux, methodForwardEvidence, controls, c.serveForwardEvidence)
 	messenger.Handle(mux, MethodReportOrigins, gates, c.serveReportOrigins)
 	messenger.Handle(mux, MethodOrigin, gates, c.serveOrigin)
+	messenger.Handle(mux, methodOrderRefused, controls, c.serveOrderRefused)
 	messenger.Handle(mux, methodForwardOrigins, controls, c.serveForwardOrigins)
 }
 
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -174,7 +174,7 @@
 		f.waitReads(c, "5 north")
 	}
 	assert.ErrorIs(t, f.controls[2].Define(t.Context(), []byte("nonsense")), definer.ErrInvalid)
-	f.eventually("closed", func() bool { return f.controls[2].SetFailureDomainClosed(t.Context(), "n", true) == nil })
+	f.eventually("closed", func() bool { return f.controls[2].SetFailureDomainClosed(t.Context(), "n", true, 0) == nil })
 
 	// A member loses its disk and restarts without bootstrap.
 	f.controls[0].stop()
--- a/internal/controller/operations.go
+++ b/internal/controller/operations.go
@@ -83,24 +83,13 @@
 	return state.Document, nil
 }
 
-// SetFailureDomainClosed closes a failure domain, so that its servers get no
-// requests, or opens it again if closed is false. It returns once a quorum has
-// synced the change, or an error that wraps ErrUnavailable; the change may then
-// still take effect.
-func (c *Controller) SetFailureDomainClosed(ctx context.Context, failureDomain string, closed bool) error {
-	startedAt := time.Now()
-	_, err := c.submit(ctx, command{CloseDomain: &closeCommand{FailureDomain: failureDomain, Closed: closed}})
-	klog.InfoS("failure domain change proposed", "failure-domain", failureDomain, "closed", closed, "took", time.Since(startedAt), "err", logger.ErrorText(err))
-	return err
-}
-
 // proposeRetryInterval is the delay between two attempts to propose a command.
 const proposeRetryInterval = 50 * time.Millisecond
 
 // submit appends a command to the log through the leader and returns the state
 // machine's result. It retries for at most callTimeout while there is no leader.
 // It retries only after errors that rule out that the command was accepted;
-// after any other error it returns ErrUnavailable.
+// after any other error it returns ErrUnavailable, or ErrOrderOutdated as it is.
 func (c *Controller) submit(ctx context.Context, cmd command) (commandResult, error) {
 	data, err := encodeCommand(cmd)
 	if err != nil {
@@ -113,6 +102,9 @@
 		if err == nil {
 			return outcome, nil
 		}
+		if errors.Is(err, ErrOrderOutdated) {
+			return commandResult{}, err
+		}
 		if !errors.Is(err, replicator.ErrNotLeader) && !errors.Is(err, ErrUnavailable) {
 			return commandResult{}, trace.Wrap(ErrUnavailable, err.Error())
 		}
@@ -128,11 +120,7 @@
 // the leader.
 func (c *Controller) propose(ctx context.Context, data []byte) (commandResult, error) {
 	if c.group.IsLeader() {
-		outcome, err := c.group.Propose(ctx, data)
-		if err != nil {
-			return commandResult{}, trace.Wrap(err)
-		}
-		return outcome.(commandResult), nil
+		return c.proposeHere(ctx, data)
 	}
 	leader, known := c.group.Leader()
 	if !known {
@@ -152,11 +140,7 @@
 	if err != nil {
 		return commandResult{}, trace.Wrap(err)
 	}
-	outcome, err := c.group.Propose(ctx, data)
-	if err != nil {
-		return commandResult{}, trace.Wrap(err)
-	}
-	return outcome.(commandResult), nil
+	return c.proposeHere(ctx, data)
 }
 
 // awaitReadIndex returns once the local state reflects every change that was
--- a/internal/controller/statemachine.go
+++ b/internal/controller/statemachine.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
@@ -38,6 +39,10 @@
 type closeCommand struct {
 	FailureDomain string `cbor:"f"`
 	Closed        bool   `cbor:"c"`
+	// After is the revision of the order before it, as its operator was told. The
+	// leader checks it before it appends the command; the state machine does not, so
+	// that all releases apply the same commands. It is nil in those of earlier releases.
+	After *replicator.Index `cbor:"a,omitempty"`
 }
 
 // commandResult is the state machine's answer to a command.
@@ -69,15 +74,32 @@
 	version       definer.Version
 	document      []byte
 	closedDomains map[string]bool
+	// orderRevisions holds, by failure domain, the index of the last order to close it
+	// or to open it.
+	orderRevisions map[string]replicator.Index
+	// changedAt holds, by failure domain, when this process last closed it or opened it.
+	changedAt map[string]time.Time
+}
+
+// snapshot is the encoded form of the state machine.
+type snapshot struct {
+	State
+	OrderRevisions map[string]replicator.Index `cbor:"o,omitempty"`
+}
+
+func decodeCommand(data []byte) (command, error) {
+	var c command
+	err := decoder.Stored(data, &c)
+	return c, trace.Wrap(err)
 }
 
 // Apply implements replicator.StateMachine. It returns a commandResult. An entry
 // that cannot be decoded changes nothing.
 func (m *stateMachine) Apply(index replicator.Index, data []byte) any {
-	var c command
+	c, err := decodeCommand(data)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err := decoder.Stored(data, &c); err != nil {
+	if err != nil {
 		klog.ErrorS(err, "cannot decode log entry", "index", index)
 		return commandResult{Index: m.index, Version: m.version}
 	}
@@ -86,23 +108,43 @@
 		m.version, m.document = c.Define.Version, c.Define.Document
 		m.index = index
 		klog.InfoS("definition accepted", "version", m.version, "hash", compressor.HashName(m.document), "index", index)
-	case c.CloseDomain != nil && m.closedDomains[c.CloseDomain.FailureDomain] != c.CloseDomain.Closed:
-		m.setDomainClosed(*c.CloseDomain)
-		m.index = index
-		klog.InfoS("failure domain changed", "failure-domain", c.CloseDomain.FailureDomain, "closed", c.CloseDomain.Closed, "index", index)
+	case c.CloseDomain != nil:
+		m.setDomainClosed(index, *c.CloseDomain)
 	}
 	return commandResult{Index: m.index, Version: m.version}
 }
 
-func (m *stateMachine) setDomainClosed(c closeCommand) {
+// setDomainClosed carries out an order. One that changes nothing has a revision too, so
+// that older ones are outdated from then on.
+func (m *stateMachine) setDomainClosed(index replicator.Index, c closeCommand) {
+	if m.orderRevisions == nil {
+		m.orderRevisions = map[string]replicator.Index{}
+	}
+	m.orderRevisions[c.FailureDomain] = index
+	if m.closedDomains[c.FailureDomain] == c.Closed {
+		return
+	}
 	if m.closedDomains == nil {
 		m.closedDomains = map[string]bool{}
 	}
 	if c.Closed {
 		m.closedDomains[c.FailureDomain] = true
-		return
+	} else {
+		delete(m.closedDomains, c.FailureDomain)
+	}
+	m.index = index
+	if m.changedAt == nil {
+		m.changedAt = map[string]time.Time{}
 	}
-	delete(m.closedDomains, c.FailureDomain)
+	m.changedAt[c.FailureDomain] = time.Now()
+	klog.InfoS("failure domain changed", "failure-domain", c.FailureDomain, "closed", c.Closed, "index", index)
+}
+
+// lastOrder returns the last order for a failure domain. Before the first one it is open.
+func (m *stateMachine) lastOrder(failureDomain string) domainOrder {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return domainOrder{revision: m.orderRevisions[failureDomain], closed: m.closedDomains[failureDomain], changedAt: m.changedAt[failureDomain]}
 }
 
 // state returns the current state. The caller must not modify its document.
@@ -115,16 +157,19 @@
 	}
 }
 
-// Snapshot implements replicator.StateMachine. It encodes a State.
+// Snapshot implements replicator.StateMachine.
 func (m *stateMachine) Snapshot() ([]byte, error) {
-	data, err := cbor.Marshal(m.state())
+	state := m.state()
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	data, err := cbor.Marshal(snapshot{State: state, OrderRevisions: m.orderRevisions})
 	return data, trace.Wrap(err)
 }
 
 // Restore implements replicator.StateMachine. Empty data restores the initial
 // state.
 func (m *stateMachine) Restore(data []byte) error {
-	var state State
+	var state snapshot
 	if len(data) > 0 {
 		if err := decoder.Stored(data, &state); err != nil {
 			return trace.Wrap(err)
@@ -133,6 +178,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.index, m.version, m.document = state.Index, state.Version, state.Document
+	m.orderRevisions = state.OrderRevisions
 	m.closedDomains = map[string]bool{}
 	for _, domain := range state.ClosedDomains {
 		m.closedDomains[domain] = true
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -18,6 +18,7 @@
 	"github.com/boragehead/boragehead/internal/measurer"
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/registrar"
+	"github.com/boragehead/boragehead/internal/replicator"
 )
 
 // ControlOperations are the operations of a control instance that operators,
@@ -28,9 +29,14 @@
 	Define(ctx context.Context, document []byte) error
 	// Definition returns the current document, or nil before the first definition.
 	Definition(ctx context.Context) ([]byte, error)
+	// PrepareOrder returns the revision that an order to close a failure domain, or to
+	// open it, must bear. The error wraps controller.ErrOrderOutdated if the order may be
+	// old; it must be sent again then.
+	PrepareOrder(ctx context.Context, failureDomain string, closed bool) (replicator.Index, error)
 	// SetFailureDomainClosed closes a failure domain, so that its servers get no
-	// requests, or opens it again if closed is false.
-	SetFailureDomainClosed(ctx context.Context, failureDomain string, closed bool) error
+	// requests, or opens it again if closed is false. The error wraps
+	// controller.ErrOrderOutdated unless the last order for the domain has the revision.
+	SetFailureDomainClosed(ctx context.Context, failureDomain string, closed bool, after replicator.Index) error
 	// Announce records the announcement of a backend server.
 	Announce(ctx context.Context, announcement registrar.Server) error
 	// Leave records that a backend server has ended. startedAtMillis identifies
