keeper: a drain is carried out only as the next one of its instance

An operator's drain that a keeper, a link or the way to the leader held up was carried out when it came, and undid a newer one: the change id makes a repetition harmless, not an older change. The client now asks for the revision of the instance's last drain and sends it along, and the leader appends the change only if that is still the last one. A change that has its result already still gets it. The check is Group.ProposeIf, which the orders for failure domains use too; drains of clients of earlier releases are carried out as before.

--- a/internal/controller/closeorders.go
+++ b/internal/controller/closeorders.go
@@ -65,65 +65,17 @@
 	}
 	var outcome any
 	if order := cmd.CloseDomain; order != nil && order.After != nil {
-		outcome, err = c.proposeOrder(ctx, *order, data)
+		outcome, err = c.group.ProposeIf(ctx, order.FailureDomain, func() bool {
+			return c.machine.lastOrder(order.FailureDomain).revision == *order.After
+		}, data)
 	} else {
 		outcome, err = c.group.Propose(ctx, data)
 	}
+	if errors.Is(err, replicator.ErrConditionFailed) {
+		return commandResult{}, trace.Wrap(ErrOrderOutdated, err.Error())
+	}
 	if err != nil {
 		return commandResult{}, trace.Wrap(err)
 	}
 	return outcome.(commandResult), nil
 }
-
-// proposeOrder appends an order to the log unless another one for the same failure domain
-// has been accepted since its revision, or is on its way through the log. All orders pass
-// through the leader, so the check holds as long as the term does.
-func (c *Controller) proposeOrder(ctx context.Context, order closeCommand, data []byte) (any, error) {
-	term := c.group.Status().Term
-	if err := c.awaitOwnTerm(ctx, term); err != nil {
-		return nil, err
-	}
-	if !c.beginOrder(order.FailureDomain) {
-		return nil, trace.Wrap(ErrOrderOutdated, "another order for failure domain %q is in progress", order.FailureDomain)
-	}
-	defer c.endOrder(order.FailureDomain)
-	if revision := c.machine.lastOrder(order.FailureDomain).revision; revision != *order.After {
-		return nil, trace.Wrap(ErrOrderOutdated, "order for failure domain %q at revision %d, the last one is %d", order.FailureDomain, *order.After, revision)
-	}
-	return c.group.ProposeIn(ctx, term, data)
-}
-
-// awaitOwnTerm returns once the state machine reflects everything that leaders of earlier
-// terms have confirmed.
-func (c *Controller) awaitOwnTerm(ctx context.Context, term replicator.Term) error {
-	c.mu.Lock()
-	current := c.caughtUpTerm == term
-	c.mu.Unlock()
-	if current {
-		return nil
-	}
-	if err := c.group.Read(ctx); err != nil {
-		return err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.caughtUpTerm = term
-	return nil
-}
-
-// beginOrder marks a failure domain's order as in progress, unless there is one.
-func (c *Controller) beginOrder(failureDomain string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.domainsInProgress[failureDomain] {
-		return false
-	}
-	c.domainsInProgress[failureDomain] = true
-	return true
-}
-
-func (c *Controller) endOrder(failureDomain string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.domainsInProgress, failureDomain)
-}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -81,12 +81,6 @@
 	pauses         conductor.Pauses
 
 	mu sync.Mutex
-	// caughtUpTerm is the last term in which this instance led and had applied what was
-	// confirmed before it.
-	caughtUpTerm replicator.Term
-	// domainsInProgress are the failure domains with an order that this instance, as the
-	// leader, has appended and that has no outcome yet.
-	domainsInProgress map[string]bool
 	// refusedOrders holds when orders were refused that must be sent again.
 	refusedOrders map[refusedOrder]time.Time
 
@@ -130,7 +124,7 @@
 func New(settings loader.Control, decode Decoder, client *messenger.Client) (*Controller, error) {
 	c := &Controller{
 		settings: settings, decode: decode, client: client, machine: &stateMachine{},
-		epoch: time.Now().UnixNano(), changed: make(chan struct{}), quarantineDigests: map[string]uint64{}, domainsInProgress: map[string]bool{}, refusedOrders: map[refusedOrder]time.Time{},
+		epoch: time.Now().UnixNano(), changed: make(chan struct{}), quarantineDigests: map[string]uint64{}, refusedOrders: map[refusedOrder]time.Time{},
 		origins: originKeeper{mixed: newMixedServices(nil, true)},
 	}
 	c.peers.seeds = settings.SeedPeers()
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -29,6 +29,9 @@
 	ErrNotLeader = messenger.RegisterError("not-leader", replicator.ErrNotLeader)
 	// ErrLost means that it is unknown whether a change was committed.
 	ErrLost = messenger.RegisterError("outcome-unknown", replicator.ErrOutcomeUnknown)
+	// ErrOutdated means that a change was not made, since another one came after the state
+	// that it was given for.
+	ErrOutdated = messenger.RegisterError("outdated", replicator.ErrConditionFailed)
 	// ErrHomeElsewhere means that a claim was sent to a region other than the home
 	// of its workspace, by an older configuration than the keeper's.
 	ErrHomeElsewhere = messenger.RegisterError("claim-home-elsewhere", errors.New("the workspace's home is another region"))
@@ -144,7 +147,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	outcome, err := group.Propose(ctx, query.Data)
+	outcome, err := k.proposeHere(ctx, group, query.Data)
 	if err != nil {
 		return proposeAnswer{}, err
 	}
@@ -174,7 +177,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if group.IsLeader() {
-		outcome, err := group.Propose(ctx, data)
+		outcome, err := k.proposeHere(ctx, group, data)
 		if err != nil {
 			return result, trace.Wrap(err)
 		}
@@ -198,6 +201,16 @@
 	return result, trace.Wrap(decoder.Message(answer.Outcome, &result))
 }
 
+// proposeHere proposes an entry to a group that this keeper leads. A drain is proposed only
+// if it is not outdated.
+func (k *Keeper) proposeHere(ctx context.Context, group *replicator.Group, data []byte) (any, error) {
+	var c command
+	if group != k.controlGroup || decoder.Stored(data, &c) != nil || c.After == nil || c.Table == nil || c.Table.Drain == nil {
+		return group.Propose(ctx, data)
+	}
+	return group.ProposeIf(ctx, c.Table.Drain.Name, func() bool { return !k.controlState.isOutdated(c) }, data)
+}
+
 // serveClaim commits a command of the region's claim group. Outcomes and releases
 // of claims are always recorded, also after their workspace's home has moved.
 func (k *Keeper) serveClaim(ctx context.Context, _ certifier.Identity, query claimer.Command) (claimer.Outcome, error) {
--- a/internal/keeper/operations.go
+++ b/internal/keeper/operations.go
@@ -88,10 +88,23 @@
 	return k.proposeTableChange(ctx, tabler.Command{ChangeID: changeID, AddKey: &key})
 }
 
+// DrainRevision returns the revision of the last change of whether an entry instance is
+// draining, or 0. It includes everything committed before the call.
+func (k *Keeper) DrainRevision(ctx context.Context, instance string) (replicator.Index, error) {
+	if err := k.readBarrier(ctx); err != nil {
+		return 0, err
+	}
+	k.controlState.mu.RLock()
+	defer k.controlState.mu.RUnlock()
+	return k.controlState.drainRevisions[instance], nil
+}
+
 // SetDraining sets whether an entry instance is draining. A draining instance is
-// not listed in the directory.
-func (k *Keeper) SetDraining(ctx context.Context, changeID, instance string, draining bool) (tabler.Result, error) {
-	return k.proposeTableChange(ctx, tabler.Command{ChangeID: changeID, Drain: &tabler.InstanceChange{Name: instance, Draining: draining}})
+// not listed in the directory. The error is ErrOutdated unless after is nil or the
+// revision of the instance's last change.
+func (k *Keeper) SetDraining(ctx context.Context, changeID, instance string, draining bool, after *replicator.Index) (tabler.Result, error) {
+	change := tabler.Command{ChangeID: changeID, Drain: &tabler.InstanceChange{Name: instance, Draining: draining}}
+	return propose[tabler.Result](ctx, k, k.controlGroup, controlGroupName, command{Table: &change, After: after})
 }
 
 // RemoveInstance takes back all grants of an entry instance that will not come
--- a/internal/keeper/statemachine.go
+++ b/internal/keeper/statemachine.go
@@ -23,6 +23,9 @@
 	// Order changes no state. It takes a place in the log because the index of
 	// the entry is the order's fencing number.
 	Order *orderer.Order `cbor:"order,omitempty"`
+	// After is set on a drain: the revision of the instance's last one, which the leader
+	// checks before it appends the command. It is nil in those of earlier releases.
+	After *replicator.Index `cbor:"after,omitempty"`
 }
 
 // controlStateMachine is the state that the control group replicates: the tables
@@ -32,6 +35,9 @@
 	state        tabler.State
 	ledger       granter.Ledger
 	appliedIndex uint64
+	// drainRevisions holds, by instance, the index of the last entry that set whether it
+	// is draining.
+	drainRevisions map[string]replicator.Index
 }
 
 // controlSnapshot is the encoded form of a controlStateMachine.
@@ -39,6 +45,8 @@
 	State  tabler.State   `cbor:"state"`
 	Ledger granter.Ledger `cbor:"ledger"`
 	Index  uint64         `cbor:"index"`
+
+	DrainRevisions map[string]replicator.Index `cbor:"drain-revisions,omitempty"`
 }
 
 // Apply implements [replicator.StateMachine]. The outcome is a fencingNumber for
@@ -62,6 +70,12 @@
 	if c.Table == nil {
 		return tabler.Result{Refusal: tabler.RefusalInvalid, Detail: "empty entry"}
 	}
+	if drain := c.Table.Drain; drain != nil {
+		if m.drainRevisions == nil {
+			m.drainRevisions = map[string]replicator.Index{}
+		}
+		m.drainRevisions[drain.Name] = index
+	}
 	result := m.state.Apply(*c.Table)
 	if c.Table.Edit != nil && result.Refusal == "" {
 		m.setWorkspaceTotals(*c.Table.Edit)
@@ -87,7 +101,7 @@
 func (m *controlStateMachine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	data, err := cbor.Marshal(controlSnapshot{State: m.state, Ledger: m.ledger, Index: m.appliedIndex})
+	data, err := cbor.Marshal(controlSnapshot{State: m.state, Ledger: m.ledger, Index: m.appliedIndex, DrainRevisions: m.drainRevisions})
 	return data, trace.Wrap(err)
 }
 
@@ -104,9 +118,18 @@
 	m.state = snapshot.State
 	m.ledger = snapshot.Ledger
 	m.appliedIndex = snapshot.Index
+	m.drainRevisions = snapshot.DrainRevisions
 	return nil
 }
 
+// isOutdated reports whether an instance has been drained or put back since a command was
+// given. One that is sent again is not outdated: it gets its first result.
+func (m *controlStateMachine) isOutdated(c command) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.drainRevisions[c.Table.Drain.Name] != *c.After && !m.state.HasResult(c.Table.ChangeID)
+}
+
 // view calls read with the state and the index of the last applied entry, under
 // a read lock. The function must neither change nor retain what it is given.
 func (m *controlStateMachine) view(read func(state *tabler.State, ledger *granter.Ledger, index uint64)) {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -96,10 +96,16 @@
 }
 
 // SetDraining takes an entry instance out of the directory, or puts it back if
-// draining is false.
+// draining is false. The change is made only if it is the next one of the instance, so that
+// one that is held up on its way does not undo a newer one; otherwise the error is
+// keeper.ErrOutdated.
 func (c *Client) SetDraining(ctx context.Context, changeID, instance string, draining bool) (tabler.Result, error) {
-	query := changeQuery{ChangeID: changeID, Draining: draining}
-	return call[tabler.Result](ctx, c, http.MethodPost, "/v1/instances/"+instance+"/drain", query)
+	path := "/v1/instances/" + instance + "/drain"
+	last, err := call[drainAnswer](ctx, c, http.MethodGet, path, nil)
+	if err != nil {
+		return tabler.Result{}, err
+	}
+	return call[tabler.Result](ctx, c, http.MethodPost, path, changeQuery{ChangeID: changeID, Draining: draining, After: &last.Revision})
 }
 
 // RemoveInstance takes back all grants of an entry instance that is gone for good.
@@ -205,6 +211,7 @@
 	}
 	sentinels := map[code]error{
 		codeConflict:       tabler.ErrConflict,
+		codeOutdated:       keeper.ErrOutdated,
 		codeUnknownItem:    tabler.ErrUnknown,
 		codeExists:         tabler.ErrExists,
 		codeInvalid:        tabler.ErrInvalid,
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -14,6 +14,7 @@
 	"github.com/boragehead/boragehead/internal/keeper"
 	"github.com/boragehead/boragehead/internal/locator"
 	"github.com/boragehead/boragehead/internal/orderer"
+	"github.com/boragehead/boragehead/internal/replicator"
 	"github.com/boragehead/boragehead/internal/reporter"
 	"github.com/boragehead/boragehead/internal/tabler"
 )
@@ -25,7 +26,8 @@
 	Keys(ctx context.Context) ([]tabler.Key, error)
 	AddKey(ctx context.Context, changeID string, key tabler.Key) (tabler.Result, error)
 	WithdrawKey(ctx context.Context, changeID, id string) (keeper.WithdrawOutcome, error)
-	SetDraining(ctx context.Context, changeID, instance string, draining bool) (tabler.Result, error)
+	DrainRevision(ctx context.Context, instance string) (replicator.Index, error)
+	SetDraining(ctx context.Context, changeID, instance string, draining bool, after *replicator.Index) (tabler.Result, error)
 	RemoveInstance(ctx context.Context, instance string) error
 	Status(ctx context.Context) keeper.Status
 	BurnRates(ctx context.Context) reporter.BurnReport
@@ -52,6 +54,7 @@
 	mux.HandleFunc("GET /v1/keys", h.getKeys)
 	mux.HandleFunc("POST /v1/keys", h.postKey)
 	mux.HandleFunc("POST /v1/keys/{id}/withdraw", h.withdrawKey)
+	mux.HandleFunc("GET /v1/instances/{name}/drain", h.getDrain)
 	mux.HandleFunc("POST /v1/instances/{name}/drain", h.drain)
 	mux.HandleFunc("POST /v1/instances/{name}/remove", h.remove)
 	mux.HandleFunc("GET /v1/status", h.getStatus)
@@ -101,6 +104,12 @@
 	ChangeID         string `json:"change-id"`
 	Draining         bool   `json:"draining"`
 	AcceptLostClaims bool   `json:"accept-lost-claims"`
+	// After is the revision of the instance's last drain, if the change must come next.
+	After *replicator.Index `json:"after,omitempty"`
+}
+
+type drainAnswer struct {
+	Revision replicator.Index `json:"revision"`
 }
 
 type emptyAnswer struct{}
@@ -147,12 +156,17 @@
 	writeAnswer(w, outcome, err)
 }
 
+func (h *handler) getDrain(w http.ResponseWriter, r *http.Request) {
+	revision, err := h.control.DrainRevision(r.Context(), r.PathValue("name"))
+	writeAnswer(w, drainAnswer{Revision: revision}, err)
+}
+
 func (h *handler) drain(w http.ResponseWriter, r *http.Request) {
 	query, ok := decodeRequest[changeQuery](w, r)
 	if !ok {
 		return
 	}
-	result, err := h.control.SetDraining(r.Context(), query.ChangeID, r.PathValue("name"), query.Draining)
+	result, err := h.control.SetDraining(r.Context(), query.ChangeID, r.PathValue("name"), query.Draining, query.After)
 	writeResult(w, result, err)
 }
 
@@ -231,6 +245,7 @@
 	codeForbidden      code = "forbidden"
 	codeInvalid        code = "invalid"
 	codeConflict       code = "revision-conflict"
+	codeOutdated       code = "outdated"
 	codeUnknownItem    code = "unknown-item"
 	codeExists         code = "already-exists"
 	codeNoQuorum       code = "no-quorum"
@@ -243,6 +258,8 @@
 	switch {
 	case errors.Is(err, tabler.ErrConflict):
 		return http.StatusConflict, codeConflict
+	case errors.Is(err, keeper.ErrOutdated):
+		return http.StatusConflict, codeOutdated
 	case errors.Is(err, tabler.ErrUnknown), trace.IsNotFound(err):
 		return http.StatusNotFound, codeUnknownItem
 	case errors.Is(err, tabler.ErrExists), trace.IsAlreadyExists(err):
--- a/internal/replicator/group.go
+++ b/internal/replicator/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -74,6 +73,9 @@
 	// changed is closed and replaced when the applied index, the role or the
 	// term changes.
 	changed chan struct{}
+	// caughtUpTerm and keysInProgress belong to ProposeIf.
+	caughtUpTerm   Term
+	keysInProgress map[string]bool
 }
 
 // outcome is the answer to a request.
@@ -90,13 +92,6 @@
 	answer chan outcome
 }
 
-// bootstrapRequest asks an empty store to become one of a new group's first
-// members.
-type bootstrapRequest struct {
-	request
-	members []Member
-}
-
 // Open reads a group from the identity's disk and applies all entries known to
 // be committed to the state machine. Call Run to start the group. The error is
 // ErrDiskLost or journaler.ErrCorrupt if the disk's contents cannot be trusted.
@@ -378,31 +373,3 @@
 		klog.ErrorS(err, "could not write snapshot; log not compacted", "group", g.name)
 	}
 }
-
-// bootstrap writes the first members to an empty store. The error is that of the
-// disk; the request gets an error of its own if the store already has members.
-func (g *Group) bootstrap(bootstrap bootstrapRequest) error {
-	g.pending[bootstrap.id] = bootstrap.answer
-	if members := g.model.Status().Members; len(members) > 0 {
-		g.answer(bootstrap.id, outcome{err: checkSameMembers(g.name, members, bootstrap.members)})
-		return nil
-	}
-	stored := PersistedState{Snapshot: BootstrapSnapshot(bootstrap.members)}
-	if err := g.storage.compact(stored); err != nil {
-		return err
-	}
-	g.model.log.compact(stored.Snapshot)
-	g.model.commitIndex = stored.Snapshot.Index
-	g.model.appliedIndex = stored.Snapshot.Index
-	g.answer(bootstrap.id, outcome{})
-	return nil
-}
-
-// checkSameMembers makes bootstrapping idempotent: repeating it with the same
-// members succeeds.
-func checkSameMembers(group string, members, requested []Member) error {
-	if slices.Equal(members, requested) {
-		return nil
-	}
-	return trace.AlreadyExists("group %s has other members already", group)
-}
--- a/internal/tabler/state.go
+++ b/internal/tabler/state.go
@@ -200,6 +200,12 @@
 	return Result{}, false
 }
 
+// HasResult reports whether the result of a change id is recorded.
+func (s *State) HasResult(changeID string) bool {
+	_, known := s.memoOf(changeID)
+	return known
+}
+
 // recordRemoval adds a removal and drops the oldest beyond maxRemovals.
 func (s *State) recordRemoval(removal Removal) {
 	s.Removed = append(s.Removed, removal)
