forwarder: a resumed stream that brings nothing is not complete

A stream had begun and broke off; the next server, or the next region, answered with an empty stream framed as whole, with comments alone, or with a stream that ended before what the caller had. The caller's stream then ended as complete, with pieces missing.

Cause: the end of a stream was checked by the framing and the events of the last attempt alone. A resumed stream now ends as complete only if its attempt brought a further event, or the last one again; otherwise the next attempt is made, or the caller's connection breaks off.

--- a/internal/forwarder/fleet_test.go
+++ b/internal/forwarder/fleet_test.go
@@ -18,6 +18,8 @@
 	// relayRegion, unless empty, is tried once before the servers.
 	relayRegion  string
 	relayAddress netip.AddrPort
+	// relayLast has the region tried after the servers instead.
+	relayLast bool
 	// starting makes the instance wait for a definition and for servers.
 	starting bool
 	mu       sync.Mutex
@@ -35,7 +37,8 @@
 func (f *testFleet) RecordNotice(uint64, placer.Notice) {}
 
 func (f *testFleet) Place(request placer.Request) placer.Decision {
-	if f.relayRegion != "" && !request.LocalOnly && len(request.TriedRegions) == 0 {
+	mayRelay := f.relayRegion != "" && !request.LocalOnly && len(request.TriedRegions) == 0
+	if mayRelay && !f.relayLast {
 		return placer.Decision{Region: f.relayRegion}
 	}
 	for i, server := range f.servers {
@@ -43,6 +46,9 @@
 			return placer.Decision{Server: &f.servers[i]}
 		}
 	}
+	if mayRelay {
+		return placer.Decision{Region: f.relayRegion}
+	}
 	return placer.Decision{RefusalReason: placer.ReasonNoServer, RetryAfter: time.Second}
 }
 
--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -46,6 +46,9 @@
 	// unnumberedEvents means that events without an id were forwarded after
 	// lastEventID, so that resuming would repeat them.
 	unnumberedEvents bool
+	// goesOn means that the last attempt has brought an event that the caller lacked, or
+	// again the last one that it had.
+	goesOn bool
 	// breakCause is the error with which the connection ended under the last
 	// attempt; nil if it did not.
 	breakCause error
@@ -204,6 +207,7 @@
 	received := &r.call.record.received
 	held := r.memory.Held()
 	defer r.memory.Shrink(held)
+	r.goesOn = !r.streamStarted // the first attempt may have no events
 	for {
 		r.memory.Shrink(held)
 		event, err := readEvent(reader, &r.memory)
@@ -218,6 +222,9 @@
 			err = received.checkProgress(event)
 		case errors.Is(err, io.EOF):
 			err = received.checkStreamEnd(event)
+			if err == nil && !r.goesOn {
+				err = errNothingResumed
+			}
 			if err == nil && len(event) == 0 {
 				return r.finishStream(response)
 			}
@@ -300,6 +307,7 @@
 	if id := eventID(event); id != "" {
 		if r.streamStarted && !eventFollows(id, r.lastEventID) {
 			r.call.record.received.duplicates++
+			r.goesOn = r.goesOn || id == r.lastEventID
 			return true // a duplicate from a resumed stream
 		}
 		r.lastEventID = id
@@ -307,6 +315,7 @@
 	} else if !isComments(event) {
 		r.unnumberedEvents = true
 	}
+	r.goesOn = r.goesOn || !isComments(event)
 	if !r.streamStarted {
 		r.startStream(response)
 	}
--- a/internal/forwarder/output_test.go
+++ b/internal/forwarder/output_test.go
@@ -197,6 +197,70 @@
 	}
 }
 
+// TestNextAnswerEndsInBrokenStream breaks a stream off after its third event. Whatever answers
+// next that is not the rest of the stream, the caller gets nothing of it, and no end.
+func TestNextAnswerEndsInBrokenStream(t *testing.T) {
+	const plainHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nContent-Type: text/plain\r\n"
+	const rest = "id: 4\ndata: piece 4\n\n"
+	const comments = ": working\n\n: bye\n\n"
+	raw := func(head, body string) http.HandlerFunc {
+		return respondRaw(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
+	}
+	tests := []struct {
+		name     string
+		next     http.HandlerFunc
+		complete bool
+	}{
+		{"rest", respondEvents(4, 6, true), true},
+		{"whole stream again, nothing missing", raw(serverHead, eventsText(3)), true},
+		{"404", respond(404, "no such part"), false},
+		{"429 of a request that may have run", respond(429, "slow down"), false},
+		{"declined", decline, false},
+		{"500", respond(500, "engine failed"), false},
+		{"503", respond(503, "engine failed"), false},
+		{"200 that is no stream", raw(plainHead, "sorry"), false},
+		{"200 without a type", raw(strings.Replace(serverHead, "Content-Type: text/event-stream\r\n", "", 1), rest), false},
+		{"206 with a stream's type", raw(strings.Replace(serverHead, "200 OK", "206 Partial Content", 1), rest), false},
+		{"empty stream framed as whole", raw(serverHead, ""), false},
+		{"empty stream, last chunk", respondRaw(serverHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), false},
+		{"empty stream, closed", respondRaw(serverHead + "\r\n"), false},
+		{"comments alone", raw(serverHead, comments), false},
+		{"shorter stream again", raw(serverHead, eventsText(2)), false},
+		{"stream of another request", raw(strings.Replace(serverHead, "ID", "r2", 1), rest), false},
+		{"stream without a proof", raw(strings.Replace(serverHead, "Signature: s\r\n", "", 1), rest), false},
+		{"head cut off", respondRaw(serverHead), false},
+		{"no answer", respondRaw(""), false},
+	}
+	for _, test := range tests {
+		for _, way := range []string{"here", "relayed", "broken off there, next here", "broken off here, next there"} {
+			t.Run(test.name+", "+way, func(t *testing.T) {
+				route := definer.Route{Kind: definer.KindStream, Attempts: 2, Resumable: true}
+				first := respondEvents(1, 3, false)
+				var g *testGateway
+				switch way {
+				case "here":
+					g = newTestGateway(t, route, first, test.next)
+				case "relayed":
+					g = newTestGateway(t, route)
+					relayTo(t, g, newTestGateway(t, route, first, test.next), retryLimit)
+				case "broken off there, next here":
+					g = newTestGateway(t, route, test.next)
+					relayTo(t, g, newTestGateway(t, route, first), retryLimit)
+				default:
+					g = newTestGateway(t, route, first)
+					relayTo(t, g, newTestGateway(t, route, test.next), retryLimit)
+					g.fleet.relayLast = true
+				}
+				status, body, err := g.do("POST", "/a", "prompt")
+				assert.Equal(t, status, http.StatusOK)
+				assert.Equal(t, err == nil, test.complete, "whether the stream looks complete")
+				body = strings.TrimSuffix(body, comments)
+				assert.Assert(t, body == eventsText(3) || test.name == "rest" && body == eventsText(6), "%q", body)
+			})
+		}
+	}
+}
+
 // TestPartOfNextEventDelaysEvent covers a server whose packet ends within the next
 // event: the complete ones before it must not wait for the rest.
 func TestPartOfNextEventDelaysEvent(t *testing.T) {
--- a/internal/forwarder/received.go
+++ b/internal/forwarder/received.go
@@ -13,6 +13,7 @@
 	errEndedWithinEvent = errors.New("the body ended within an event")
 	errNoEvents         = errors.New("comments and blank lines without an event exceed 256 KiB")
 	errEndedUnframed    = errors.New("the connection ended before the first event")
+	errNothingResumed   = errors.New("the resumed stream ended without the event at which it was to go on")
 )
 
 // framing is how a response marks the end of its body.
