sender: the end mark of another request does not end a resumed stream

A resumed stream whose events belonged to another request, and were dropped, ended as complete with that request's end mark: end marks bear no id. One that follows an event of another request is no longer taken. An end mark alone still ends a resumed stream: the server states it.

--- a/internal/forwarder/received_test.go
+++ b/internal/forwarder/received_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -106,3 +107,52 @@
 		}
 	}
 }
+
+// TestHeadCutOffLooksComplete cuts the head of a response off after every byte. Only a whole head
+// whose body is complete may reach the caller as a success.
+func TestHeadCutOffLooksComplete(t *testing.T) {
+	heads := map[string]bool{ // whether the whole head has its whole body
+		serverHead + "Content-Length: 0\r\n\r\n":          true,
+		serverHead + "Content-Length: 100\r\n\r\n":        false,
+		serverHead + "Transfer-Encoding: chunked\r\n\r\n": false,
+		serverHead + "\r\n":                               false, // a stream without an event
+		strings.Replace(serverHead, "text/event-stream", "text/plain", 1) + "Content-Length: 0\r\n\r\n": true,
+		strings.Replace(serverHead, "text/event-stream", "text/plain", 1) + "Content-Length: 9\r\n\r\n": false,
+	}
+	for head, whole := range heads {
+		for _, end := range []ending{endClose, endReset} {
+			for _, relayed := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%q, %s, relayed=%v", head[len(serverHead)-4:], end, relayed), func(t *testing.T) {
+					t.Parallel()
+					g := newTestGateway(t, definer.Route{Kind: definer.KindStream, Attempts: 1}, func(w http.ResponseWriter, r *http.Request) {
+						cut, _ := strconv.Atoi(r.URL.Query().Get("cut"))
+						conn, _, err := w.(http.Hijacker).Hijack()
+						if err != nil {
+							return
+						}
+						_, _ = io.WriteString(conn, strings.Replace(head, "ID", r.Header.Get("Id"), 1)[:cut])
+						if end == endReset {
+							time.Sleep(2 * time.Millisecond)
+							_ = conn.(*net.TCPConn).SetLinger(0)
+						}
+						_ = conn.Close()
+					})
+					if relayed {
+						remote := g
+						g = newTestGateway(t, definer.Route{Kind: definer.KindStream, Attempts: 1})
+						relayTo(t, g, remote, retryLimit)
+					}
+					for cut := range len(head) + 1 {
+						status, body, err := g.do("POST", "/a?cut="+strconv.Itoa(cut), "prompt")
+						complete := status == http.StatusOK && err == nil
+						if cut < len(head) || !whole {
+							assert.Assert(t, !complete, "%d bytes: status %d, %q", cut, status, body)
+						} else if end == endClose {
+							assert.Assert(t, complete, "status %d, %v", status, err)
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/sender/complete_test.go
+++ b/internal/sender/complete_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,3 +87,69 @@
 		}
 	}
 }
+
+// TestNextAnswerEndsInBrokenStream breaks a stream off after its first event. Whatever answers
+// next that is not the rest of the stream, the caller gets an error event in place of its end.
+func TestNextAnswerEndsInBrokenStream(t *testing.T) {
+	const done = "data: [DONE]\n\n"
+	raw := func(status, headers, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+	}
+	const stream, notRun = "Content-Type: text/event-stream\r\n", "Boragehead-Outcome: not-run\r\n"
+	tests := []struct{ name, next string }{
+		{"404", raw("404 Not Found", "", "no such part")},
+		{"500", raw("500 Internal Server Error", "", "engine failed")},
+		{"refused before running", raw("503 Service Unavailable", notRun, "full")},
+		{"200 that is no stream", raw("200 OK", "Content-Type: application/json\r\n", `{"sorry":1}`)},
+		{"empty stream framed as whole", raw("200 OK", stream, "")},
+		{"shorter stream again", raw("200 OK", stream, firstEvent)},
+		{"stream of another request", raw("200 OK", stream+exchanger.HeaderRequestID+": other\r\n", "id: other/2\ndata: two\n\n"+done)},
+		{"events of another request", raw("200 OK", stream, "id: other/2\ndata: two\n\n"+done)},
+		{"head cut off", "HTTP/1.1 200 OK\r\n" + stream},
+		{"no answer", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x, writer := newExchange(streamedRequest, false)
+			s := startHandlers(t, respondInTurn(respondRaw(streamHead+firstEvent), respondRaw(test.next)))
+			assert.Assert(t, s.Handle(context.Background(), x) == nil)
+			received := writer.Body.String()
+			assert.Assert(t, strings.HasPrefix(received, firstEvent+"event: error\n"), "%s", received)
+			assert.Equal(t, x.Result.StreamError.Outcome, exchanger.OutcomePartial)
+		})
+	}
+}
+
+// TestHeadCutOffLooksComplete cuts the head of a response off after every byte.
+func TestHeadCutOffLooksComplete(t *testing.T) {
+	for _, contentType := range []string{"application/json", "text/event-stream"} {
+		for _, framing := range []string{"Content-Length: 0\r\n", "Content-Length: 25\r\n", ""} {
+			for _, reset := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %q, reset=%v", contentType, framing, reset), func(t *testing.T) {
+					t.Parallel()
+					head := "HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\n" + framing + "\r\n"
+					var cut atomic.Int64
+					s := startHandlers(t, func(w http.ResponseWriter, r *http.Request) {
+						_, _ = io.Copy(io.Discard, r.Body)
+						conn, _, err := w.(http.Hijacker).Hijack()
+						if err != nil {
+							return
+						}
+						_, _ = io.WriteString(conn, head[:cut.Load()])
+						if reset {
+							time.Sleep(2 * time.Millisecond)
+							_ = conn.(*net.TCPConn).SetLinger(0)
+						}
+						_ = conn.Close()
+					})
+					for ; int(cut.Load()) <= len(head); cut.Add(1) {
+						x, writer := newExchange("swap", true)
+						refusal := s.Handle(context.Background(), x)
+						assert.Assert(t, refusal != nil && writer.Body.Len() == 0, "%d bytes: status %d, %q", cut.Load(), writer.Code, writer.Body)
+						assert.Equal(t, refusal.OutcomeOrNotRun(), exchanger.OutcomeUnknown)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -51,6 +51,9 @@
 	// unnumberedEvents means that events without an id were written after
 	// lastEvent, so that resuming would repeat them.
 	unnumberedEvents bool
+	// crossed means that the last event with an id in this attempt is one of another
+	// request, so that an end marker may be that request's.
+	crossed bool
 	// version is that of the software of the server that began the stream; empty if it
 	// does not tell.
 	version string
@@ -103,6 +106,7 @@
 	scanner := bufio.NewScanner(response.Body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	scanner.Split(splitEvents)
+	s.crossed = false
 	idleBytes := 0 // since the last event with a field
 	for scanner.Scan() {
 		stallTimer.Reset(stallTimeout)
@@ -118,7 +122,7 @@
 			return s.failedAttempt(true)
 		}
 		forward, valid := s.accept(ev)
-		if !valid {
+		if !valid || s.crossed && string(ev.data) == doneMarker {
 			return s.failedAttempt(true)
 		}
 		if !forward {
@@ -169,8 +173,10 @@
 	}
 	if requestID != s.x.ID {
 		s.counters.CountMismatched()
+		s.crossed = true
 		return false, true
 	}
+	s.crossed = false
 	sequence, err := strconv.ParseInt(number, 10, 64)
 	switch {
 	case err != nil:
