placer: the last server that is left is not kept ejected

For up to some seconds all requests of a service were refused with no-server, though a server was there that answered part of them: it had been ejected while there were others, and those left, ended, or had their failure domain closed since. Whether too few are left was asked only when a server was to be ejected, and counted servers that had said in an answer that they leave, or whose domain is closed. Now the least failing of them is readmitted when none is left.

TestLastServerStaysEjected failed before.

--- a/internal/placer/health.go
+++ b/internal/placer/health.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/boragehead/boragehead/internal/registrar"
 )
 
 // health is the failure record of a server: it is ejected, that is given no
@@ -103,7 +101,7 @@
 	ready, ejected := map[string]int{}, map[string]int{}
 	for _, s := range p.serversByName {
 		s.ejectedByPeers = s.peerLoad.EjectedBy >= peerEjectionQuorum
-		if s.State != registrar.StateReady || s.Silent || p.isLimited(s) {
+		if !p.isInUse(s) || p.isLimited(s) {
 			continue
 		}
 		ready[s.Service]++
@@ -141,7 +139,7 @@
 func (p *Placer) readmitFailing(now time.Time, service string) bool {
 	var best *server
 	for _, s := range p.serversByName {
-		if s.Service != service || s.State != registrar.StateReady || s.Silent || s.unreachable || !now.Before(s.ejectedUntil) {
+		if s.Service != service || !p.isInUse(s) || s.unreachable || !now.Before(s.ejectedUntil) {
 			continue
 		}
 		if best == nil || s.failureRate < best.failureRate || s.failureRate == best.failureRate && s.nameHash < best.nameHash {
@@ -155,12 +153,28 @@
 	return true
 }
 
+// readmitLast ends the ejection of one server of each service whose servers that are left are
+// all ejected: the others have left since, or their failure domain has been closed.
+func (p *Placer) readmitLast(now time.Time) {
+	hasOther := map[string]bool{}
+	for _, s := range p.serversByName {
+		if p.isInUse(s) {
+			hasOther[s.Service] = hasOther[s.Service] || !s.ejected(now)
+		}
+	}
+	for service, has := range hasOther {
+		if !has {
+			p.readmitFailing(now, service)
+		}
+	}
+}
+
 // mayEject reports whether enough servers of the service are left if a failing one
 // is ejected. Those that have named limits cannot take its load.
 func (p *Placer) mayEject(now time.Time, failing *server) bool {
 	ready, ejected := 0, 1
 	for _, s := range p.serversByName {
-		if s.Service != failing.Service || s.State != registrar.StateReady || s.Silent || s != failing && p.isLimited(s) {
+		if s.Service != failing.Service || !p.isInUse(s) || s != failing && p.isLimited(s) {
 			continue
 		}
 		ready++
--- a/internal/placer/health_test.go
+++ b/internal/placer/health_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/boragehead/boragehead/internal/registrar"
 )
 
 // TestServerFailingHalfItsRequestsGetsFewer guards against a server that keeps its
@@ -81,3 +83,41 @@
 	}
 	assert.Assert(t, placed[failing] > 200, "%v", placed)
 }
+
+// TestLastServerStaysEjected ejects one of two servers, and takes the other one away. The ejected
+// one must serve again: it answers some requests, and no other does.
+func TestLastServerStaysEjected(t *testing.T) {
+	tests := []struct {
+		name string
+		take func(p *Placer, now time.Time)
+	}{
+		{"leaving", func(p *Placer, now time.Time) {
+			leaving := engineServer(1)
+			leaving.State = registrar.StateLeaving
+			p.SetServers(now, newView(engineService()), []registrar.Server{engineServer(0), leaving})
+		}},
+		{"gone", func(p *Placer, now time.Time) { p.SetServers(now, newView(engineService()), []registrar.Server{engineServer(0)}) }},
+		{"failure domain closed", func(p *Placer, now time.Time) {
+			other := engineServer(1)
+			other.FailureDomain = "closed"
+			p.SetClosedDomains(now, []string{"closed"})
+			p.SetServers(now, newView(engineService()), []registrar.Server{engineServer(0), other})
+		}},
+	}
+	for _, test := range tests {
+		p := newPlacer(2)
+		failing, now := engineServer(0).Name, start
+		for p.ServerConditions(now)[failing] != "ejected" {
+			now = now.Add(20 * time.Millisecond)
+			request := shortPromptRequest(now, 100)
+			outcome := OutcomeAnswered
+			if p.Place(now, request).Server.Name == failing {
+				outcome = OutcomeFailed
+			}
+			p.Finish(now, request.ID, outcome)
+		}
+		test.take(p, now)
+		decision := p.Place(now, shortPromptRequest(now, 100))
+		assert.Assert(t, decision.Server != nil && decision.Server.Name == failing, "%s: %+v", test.name, decision)
+	}
+}
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -181,6 +181,7 @@
 	})
 	p.dropStalePeers(now)
 	p.sumPeerLoads(now)
+	p.readmitLast(now)
 }
 
 // updateServer takes over what a server announced of itself and the settings of
@@ -239,7 +240,13 @@
 // listedAsUsable reports whether nothing but its own request for a pause keeps a
 // server from being given requests.
 func (p *Placer) listedAsUsable(now time.Time, s *server) bool {
-	return s.State == registrar.StateReady && !s.notice.leaving && !s.Silent && !p.closedDomains[s.FailureDomain] && !s.ejected(now)
+	return p.isInUse(s) && !s.ejected(now)
+}
+
+// isInUse reports whether a server takes requests unless it is ejected, limited or has asked
+// for a pause.
+func (p *Placer) isInUse(s *server) bool {
+	return s.State == registrar.StateReady && !s.notice.leaving && !s.Silent && !p.closedDomains[s.FailureDomain]
 }
 
 // ServerConditions returns the condition of every server of this region by name:
