--- a/internal/placer/health_test.go
+++ b/internal/placer/health_test.go
@@ -96,7 +96,9 @@
 			leaving.State = registrar.StateLeaving
 			p.SetServers(now, newView(engineService()), []registrar.Server{engineServer(0), leaving})
 		}},
-		{"gone", func(p *Placer, now time.Time) { p.SetServers(now, newView(engineService()), []registrar.Server{engineServer(0)}) }},
+		{"gone", func(p *Placer, now time.Time) {
+			p.SetServers(now, newView(engineService()), []registrar.Server{engineServer(0)})
+		}},
 		{"failure domain closed", func(p *Placer, now time.Time) {
 			other := engineServer(1)
 			other.FailureDomain = "closed"
--- a/internal/runner/stoptenths_test.go
+++ b/internal/runner/stoptenths_test.go
@@ -29,17 +29,14 @@
 	requests.Go(f.stopByName["n1"])
 	for tenth := range tenths {
 		header := http.Header{"Idempotency-Key": {fmt.Sprint(tenth)}}
-		requests.Go(func() {
-			status, body := f.post("n1", secret, "/swaps", fmt.Sprint("late-", tenth), header)
-			refused := status == 0 && strings.Contains(body, "connection refused")
-			assert.Check(t, status == http.StatusOK || refused || errorCode(body) != "", "tenth %d: status %d: %s", tenth, status, body)
-		})
-		requests.Go(func() {
-			status, body := f.post("n1", secret, "/v1/chat/completions", strings.Replace(chatBody, "when", fmt.Sprint("when ", tenth), 1), nil)
-			refused := status == 0 && strings.Contains(body, "connection refused")
-			ended := strings.Contains(body, "[DONE]") || strings.Contains(body, "event: error")
-			assert.Check(t, status == http.StatusOK && ended || refused || errorCode(body) != "", "tenth %d: status %d: %s", tenth, status, body)
-		})
+		for path, body := range map[string]string{"/swaps": fmt.Sprint("late-", tenth), "/v1/chat/completions": strings.Replace(chatBody, "when", fmt.Sprint(tenth), 1)} {
+			requests.Go(func() {
+				status, answer := f.post("n1", secret, path, body, header)
+				refused := errorCode(answer) != "" || status == 0 && strings.Contains(answer, "connection refused")
+				whole := path == "/swaps" || strings.Contains(answer, "[DONE]") || strings.Contains(answer, "event: error")
+				assert.Check(t, refused || status == http.StatusOK && whole, "%s in tenth %d: status %d: %s", path, tenth, status, answer)
+			})
+		}
 		time.Sleep(stopLimit / tenths)
 	}
 	requests.Wait()
