controller: a leader does not copy a definition to see that it is no order

Each proposal was decoded whole where it is proposed, large documents included. Only its order is decoded now.

--- a/internal/controller/closeorders.go
+++ b/internal/controller/closeorders.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
+	"github.com/boragehead/boragehead/internal/decoder"
 	"github.com/boragehead/boragehead/internal/logger"
 	"github.com/boragehead/boragehead/internal/messenger"
 	"github.com/boragehead/boragehead/internal/replicator"
@@ -59,11 +60,15 @@
 // proposeHere appends an encoded command to the log if this instance leads and the command
 // is not an outdated order.
 func (c *Controller) proposeHere(ctx context.Context, data []byte) (commandResult, error) {
-	cmd, err := decodeCommand(data)
-	if err != nil {
-		return commandResult{}, err
+	// Without the field of definitions, a large document is not copied.
+	var cmd struct {
+		CloseDomain *closeCommand `cbor:"c"`
+	}
+	if err := decoder.Stored(data, &cmd); err != nil {
+		return commandResult{}, trace.Wrap(err)
 	}
 	var outcome any
+	var err error
 	if order := cmd.CloseDomain; order != nil && order.After != nil {
 		outcome, err = c.group.ProposeIf(ctx, order.FailureDomain, func() bool {
 			return c.machine.lastOrder(order.FailureDomain).revision == *order.After
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 	"github.com/gravitational/trace"
 	"gotest.tools/v3/assert"
@@ -354,5 +355,10 @@
 	assert.NilError(t, restored.Restore(snapshot))
 	want := State{Index: 9, Version: 9, Document: []byte("9 b"), ClosedDomains: []string{"n"}}
 	assert.DeepEqual(t, restored.state(), want)
+	assert.Equal(t, restored.lastOrder("n").revision, replicator.Index(9))
 	assert.Equal(t, fmt.Sprint(m.state()), fmt.Sprint(want))
+	earlier, err := cbor.Marshal(want) // as earlier releases encode it
+	assert.NilError(t, err)
+	assert.NilError(t, restored.Restore(earlier))
+	assert.DeepEqual(t, restored.state(), want)
 }
--- a/internal/controller/statemachine.go
+++ b/internal/controller/statemachine.go
@@ -87,19 +87,13 @@
 	OrderRevisions map[string]replicator.Index `cbor:"o,omitempty"`
 }
 
-func decodeCommand(data []byte) (command, error) {
-	var c command
-	err := decoder.Stored(data, &c)
-	return c, trace.Wrap(err)
-}
-
 // Apply implements replicator.StateMachine. It returns a commandResult. An entry
 // that cannot be decoded changes nothing.
 func (m *stateMachine) Apply(index replicator.Index, data []byte) any {
-	c, err := decodeCommand(data)
+	var c command
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err != nil {
+	if err := decoder.Stored(data, &c); err != nil {
 		klog.ErrorS(err, "cannot decode log entry", "index", index)
 		return commandResult{Index: m.index, Version: m.version}
 	}
