--- a/internal/experimenter/generator.go
+++ b/internal/experimenter/generator.go
@@ -85,17 +85,18 @@
 	var all []arrival
 	r := g.pattern.Regions[region]
 	for at := time.Duration(0); at < g.pattern.Duration; at += rateInterval {
-		mean := r.Rate * r.loadFactor(at) * rateInterval.Seconds()
+		weights, growth := g.pattern.shares(at)
+		mean := r.Rate * r.loadFactor(at) * growth * rateInterval.Seconds()
 		for used := g.random.ExpFloat64(); used < mean; used += g.random.ExpFloat64() {
 			when := at + time.Duration(used/mean*float64(rateInterval))
-			all = append(all, g.newArrival(when, region))
+			all = append(all, g.newArrival(when, region, weights))
 		}
 	}
 	return all
 }
 
-func (g *generator) newArrival(at time.Duration, region int) arrival {
-	k := g.sampleKind()
+func (g *generator) newArrival(at time.Duration, region int, weights []float64) arrival {
+	k := g.sampleKind(weights)
 	kind := g.pattern.Kinds[k]
 	a := arrival{at: at, regionIndex: region, kindIndex: k, parts: g.sampleSharedParts(k)}
 	own := emulator.PromptPart{ID: g.random.Uint64(), Tokens: int64(kind.OwnTokens.sample(g.random))}
@@ -107,18 +108,19 @@
 	return a
 }
 
-func (g *generator) sampleKind() int {
+// sampleKind returns the index of a kind that is drawn by the weights.
+func (g *generator) sampleKind(weights []float64) int {
 	total := 0.0
-	for _, kind := range g.pattern.Kinds {
-		total += kind.Share
+	for _, weight := range weights {
+		total += weight
 	}
 	target := g.random.Float64() * total
-	for k, kind := range g.pattern.Kinds {
-		if target -= kind.Share; target < 0 {
+	for k, weight := range weights {
+		if target -= weight; target < 0 {
 			return k
 		}
 	}
-	return len(g.pattern.Kinds) - 1
+	return len(weights) - 1
 }
 
 // sampleSharedParts chooses a part of the last level at random; its index
--- a/internal/experimenter/pattern.go
+++ b/internal/experimenter/pattern.go
@@ -16,6 +16,8 @@
 	Kinds    []RequestKind `yaml:"kinds" validate:"min=1,unique=Name,dive"`
 	// Outages take engines down for a time.
 	Outages []Outage `yaml:"outages" validate:"dive"`
+	// Bursts multiply the rate of one kind for a time.
+	Bursts []Burst `yaml:"bursts" validate:"dive"`
 }
 
 // Network holds one-way delays: within a failure domain, between the domains of a
@@ -47,6 +49,31 @@
 	Factor float64       `yaml:"factor" validate:"gte=0"`
 }
 
+// Burst multiplies the rate of a kind of request by Factor, from At for Duration.
+type Burst struct {
+	Kind     string        `yaml:"kind" validate:"required"`
+	At       time.Duration `yaml:"at" validate:"gte=0"`
+	Duration time.Duration `yaml:"for" validate:"gt=0"`
+	Factor   float64       `yaml:"factor" validate:"gt=0"`
+}
+
+// shares returns the weights of the kinds at a time since the start, which the bursts
+// multiply, and the sum of the weights relative to that without bursts.
+func (p Pattern) shares(at time.Duration) (weights []float64, growth float64) {
+	base, total := 0.0, 0.0
+	for _, kind := range p.Kinds {
+		weight := kind.Share
+		for _, burst := range p.Bursts {
+			if burst.Kind == kind.Name && burst.At <= at && at < burst.At+burst.Duration {
+				weight *= burst.Factor
+			}
+		}
+		weights = append(weights, weight)
+		base, total = base+kind.Share, total+weight
+	}
+	return weights, total / base
+}
+
 // loadFactor returns the factor at a time since the start; it is 1 before the first
 // step.
 func (r Region) loadFactor(after time.Duration) float64 {
