placer: long prompts leave headroom for urgent ones, relays follow what is accepted

Cause: less urgent requests with a long objective fill servers up to that objective, so that none can take an urgent request with a short one in time; and all instances relay to the region that looked best 400 ms ago, which refuses three in four. Change: where a more urgent kind of the service has at most half of the objective, a less urgent request is placed only where the queue takes less than 0.3 of the urgent objective; urgent ones are accepted up to 0.8 of theirs. Relays of such services have a window for each region and urgency, which acceptances widen and refusals halve (overflower). Services without such kinds are placed as before.

--- a/internal/experimenter/caller.go
+++ b/internal/experimenter/caller.go
@@ -20,7 +20,9 @@
 	// id identifies the attempt, and placementID its latest placement on an engine.
 	id          uint64
 	placementID uint64
-	engine      *engine
+	// relayID is the placement that relayed the attempt to another region.
+	relayID uint64
+	engine  *engine
 	// sender is the entry instance that sent the attempt to the engine.
 	sender   *entryInstance
 	relayed  bool
@@ -114,6 +116,7 @@
 	case decision.RefusalReason != "" && at.relayed:
 		at.relayed = false
 		s.schedule(s.pattern.Network.BetweenRegions, func() {
+			at.entry.policy.FinishRelay(s.now, at.relayID, false)
 			at.triedRegions = append(at.triedRegions, entry.region.Name)
 			s.place(at, at.entry)
 		})
@@ -123,7 +126,7 @@
 		}
 		s.refuse(at, decision.RetryAfter)
 	case decision.Region != "":
-		at.relayed = true
+		at.relayed, at.relayID = true, id
 		remote := s.regionByName(decision.Region)
 		s.schedule(s.pattern.Network.BetweenRegions, func() {
 			s.place(at, remote.entries[s.random.IntN(len(remote.entries))])
@@ -149,7 +152,7 @@
 	}
 	return placer.Request{
 		ID: id, Service: s.service, Work: work, Objective: at.reachedEntry.Add(at.kind.Objective), Deadline: at.deadline,
-		Urgency: at.kind.Urgency, HomeRegions: at.kind.HomeRegions, HomeRegionsOnly: len(at.kind.HomeRegions) > 0, LocalOnly: at.relayed,
+		RouteObjective: at.kind.Objective, Urgency: at.kind.Urgency, HomeRegions: at.kind.HomeRegions, HomeRegionsOnly: len(at.kind.HomeRegions) > 0, LocalOnly: at.relayed,
 		TriedServers: at.triedServers, TriedRegions: at.triedRegions,
 	}
 }
--- a/internal/experimenter/policy.go
+++ b/internal/experimenter/policy.go
@@ -17,6 +17,7 @@
 	Place(now time.Time, request placer.Request) placer.Decision
 	RecordFirstEvent(now time.Time, id uint64)
 	Finish(now time.Time, id uint64, outcome placer.Outcome)
+	FinishRelay(now time.Time, id uint64, accepted bool)
 	FullLoads(now time.Time) map[string]placer.Load
 	DomainLoads(now time.Time) map[string]placer.Load
 	SetPeerLoads(now time.Time, name string, near bool, loads map[string]placer.Load)
--- a/internal/experimenter/stream.go
+++ b/internal/experimenter/stream.go
@@ -86,6 +86,9 @@
 		return
 	}
 	c := at.call
+	if at.relayed {
+		at.entry.policy.FinishRelay(s.now, at.relayID, true)
+	}
 	if c.firstEvent.IsZero() {
 		c.firstEvent = s.now
 	} else {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -294,6 +294,13 @@
 	f.placer.Finish(time.Now(), id, outcome)
 }
 
+// FinishRelay records whether another region took a relayed request.
+func (f *Follower) FinishRelay(id uint64, accepted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.placer.FinishRelay(time.Now(), id, accepted)
+}
+
 // ChargeQuota charges a cost to a workspace's quota. If the quota does not
 // allow it, ChargeQuota reports false and returns how long to wait before
 // trying again.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -96,7 +96,7 @@
 	if decision.Region != "" {
 		out.call.open.enter(phaseRelay)
 		record.relayRegion, record.server, record.serverVersion = decision.Region, "", ""
-		return f.sendToRegion(ctx, out, decision)
+		return f.sendToRegion(ctx, out, id, decision)
 	}
 	out.call.open.enter(phaseServer)
 	record.server, record.serverVersion = decision.Server.Name, decision.Server.Version
@@ -128,7 +128,7 @@
 func (f *Forwarder) placementRequest(call *Call) placer.Request {
 	return placer.Request{
 		Service: call.Service, Work: call.Work, Objective: call.objective(), Deadline: call.Deadline,
-		LocalOnly: call.Relayed, Urgency: call.Route.Priority, TakesUp: call.takesUp(),
+		LocalOnly: call.Relayed, RouteObjective: call.Route.Objective, Urgency: call.Route.Priority, TakesUp: call.takesUp(),
 	}
 }
 
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -39,6 +39,9 @@
 	RecordNotice(id uint64, notice placer.Notice)
 	// Finish ends the placement of a request at a server.
 	Finish(id uint64, outcome placer.Outcome)
+	// FinishRelay records whether the other region took a request that Place had
+	// relayed there.
+	FinishRelay(id uint64, accepted bool)
 	// ChargeQuota charges a workspace. If its quota is used up, ChargeQuota
 	// charges nothing and returns false with the time until the charge would
 	// succeed.
--- a/internal/forwarder/fleet_test.go
+++ b/internal/forwarder/fleet_test.go
@@ -34,6 +34,7 @@
 func (f *testFleet) DefinitionBehind() time.Duration { return 0 }
 func (f *testFleet) RecordFirstEvent(uint64)         {}
 
+func (f *testFleet) FinishRelay(uint64, bool)           {}
 func (f *testFleet) RecordNotice(uint64, placer.Notice) {}
 
 func (f *testFleet) Place(request placer.Request) placer.Decision {
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -88,16 +88,17 @@
 // sendToRegion makes one attempt by relaying a call to an instance of another
 // region, or to another instance of this one. It adds to the possible runs as many servers as that instance was
 // allowed to use, or fewer if the response says so.
-func (f *Forwarder) sendToRegion(ctx context.Context, out *callerResponse, decision placer.Decision) attemptResult {
+func (f *Forwarder) sendToRegion(ctx context.Context, out *callerResponse, id uint64, decision placer.Decision) attemptResult {
 	runsBefore := out.possibleRuns
-	result, runs := f.relayRequest(ctx, out, decision)
+	defer f.fleet.FinishRelay(id, false) // unless its response has begun
+	result, runs := f.relayRequest(ctx, out, id, decision)
 	out.possibleRuns = runsBefore + runs
 	return result
 }
 
 // relayRequest relays a call and handles the response. It returns the number of
 // servers of the other region that may have run the request.
-func (f *Forwarder) relayRequest(ctx context.Context, out *callerResponse, decision placer.Decision) (result attemptResult, runs int) {
+func (f *Forwarder) relayRequest(ctx context.Context, out *callerResponse, id uint64, decision placer.Decision) (result attemptResult, runs int) {
 	call := out.call
 	maxRuns := max(max(call.Route.Attempts, 1)-out.possibleRuns, 1)
 	if f.runsOnce(call) {
@@ -153,6 +154,7 @@
 		call.record.note = "request failed in the other region: " + response.Status
 		return resultUnknown, min(maxRuns, out.statedRuns)
 	}
+	f.fleet.FinishRelay(id, true)
 	out.offeredToServer, out.breakCause = true, nil
 	result, _ = f.handleResponse(out, match, response)
 	if isBrokenOffHere(out.breakCause) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/boragehead/boragehead/internal/definer"
+	"github.com/boragehead/boragehead/internal/overflower"
 	"github.com/boragehead/boragehead/internal/registrar"
 	"github.com/boragehead/boragehead/internal/throttler"
 )
@@ -34,6 +35,9 @@
 	// is due.
 	Objective time.Time
 	Deadline  time.Time
+	// RouteObjective is the objective that the route states, of which a part may have
+	// passed.
+	RouteObjective time.Duration
 	// Urgency is the priority of the route; 0 is the most urgent.
 	Urgency int
 	// HomeRegions are the only regions that may serve the request if
@@ -147,6 +151,11 @@
 	closedDomains  map[string]bool
 	// reopenedAt is when closed failure domains were reopened, by their name.
 	reopenedAt map[string]time.Time
+	kinds      map[kindKey]kind
+	// overflow limits relays to other regions, of which relaysByID holds those without an
+	// outcome.
+	overflow   overflower.Overflower
+	relaysByID map[uint64]relay
 	// cacheFills are reported to other instances; the newest is last.
 	cacheFills []timedCacheFill
 }
@@ -173,6 +182,7 @@
 // Place chooses where a request runs. If it chooses a server, the request counts
 // as load of that server until Finish is called with its ID.
 func (p *Placer) Place(now time.Time, request Request) Decision {
+	p.recordKind(now, request)
 	local := p.bestLocal(now, request)
 	remote, found := p.bestRemote(now, request)
 	switch {
@@ -183,7 +193,7 @@
 	case found && p.preferRemote(request, now, local, remote):
 		return p.remoteOrRefuse(now, request, remote)
 	}
-	if excess := excessWait(now, request, local); excess > 0 {
+	if excess := p.excessWait(now, request, local); excess > 0 {
 		return Decision{RefusalReason: ReasonOverloaded, PredictedWait: local.wait, RetryAfter: excess, UsableServers: local.usableServers}
 	}
 	return p.assign(now, request, local)
@@ -192,9 +202,10 @@
 // remoteOrRefuse relays a request to another region, or refuses it if its wait
 // there would be too long.
 func (p *Placer) remoteOrRefuse(now time.Time, request Request, remote candidate) Decision {
-	if excess := excessWait(now, request, remote); excess > 0 {
+	if excess := p.excessWait(now, request, remote); excess > 0 {
 		return Decision{RefusalReason: ReasonOverloaded, PredictedWait: remote.wait, RetryAfter: excess}
 	}
+	p.startRelay(now, request, remote.region)
 	return Decision{Region: remote.region, PredictedWait: remote.wait}
 }
 
@@ -202,6 +213,9 @@
 // sooner that the longer network path and a cache with less of the prompt are
 // worth it. Requests that would be served well within their objective here stay.
 func (p *Placer) preferRemote(request Request, now time.Time, local, remote candidate) bool {
+	if bound, held := p.headroomBound(now, request); held && local.queueWait() > bound {
+		return remote.queueWait() <= bound
+	}
 	timeLeft := request.Objective.Sub(now)
 	if local.wait <= time.Duration(float64(timeLeft)*localWaitShare) {
 		return false
@@ -215,7 +229,7 @@
 // meets no queue is served even if its objective is missed. Nor is an end after the
 // deadline counted against a stream that is taken up: the prediction may be wrong, and
 // what its caller has is lost if it is refused.
-func excessWait(now time.Time, request Request, best candidate) time.Duration {
+func (p *Placer) excessWait(now time.Time, request Request, best candidate) time.Duration {
 	if request.Resuming {
 		return 0
 	}
@@ -226,8 +240,13 @@
 		waitFactor, wait = takeUpWaitFactor, best.wait-best.overrun
 	case request.Urgency > 0:
 		waitFactor = lessUrgentWaitFactor
+	case p.isLeftHeadroom(now, request):
+		waitFactor = headroomWaitFactor
 	}
 	maxWait := max(time.Duration(float64(timeLeft)*waitFactor), best.ownPrefill+time.Duration(float64(timeLeft)*queueWaitShare))
+	if bound, held := p.headroomBound(now, request); held {
+		maxWait = min(maxWait, best.wait-best.queueWait()+bound)
+	}
 	maxWait = min(maxWait, request.Deadline.Sub(now))
 	if wait <= maxWait {
 		return 0
@@ -280,6 +299,13 @@
 	completion time.Duration
 	// overrun is the part of the wait that stands for an end after the deadline.
 	overrun time.Duration
+	// distance is the part of the wait that the way to another region takes.
+	distance time.Duration
+}
+
+// queueWait returns the part of the wait that does not depend on the request itself.
+func (c candidate) queueWait() time.Duration {
+	return c.wait - c.ownPrefill - c.overrun - c.distance
 }
 
 // assign places a request on the server of a candidate and counts it as load there.
--- a/internal/placer/region.go
+++ b/internal/placer/region.go
@@ -65,7 +65,7 @@
 	}
 	for region, services := range p.remoteServices {
 		remote, serves := services[request.Service.Name]
-		if !serves || remote.Servers == 0 || now.Sub(remote.receivedAt) > summaryTTL || !request.allowsRegion(region) || !remote.hasVersion(request) {
+		if !serves || remote.Servers == 0 || now.Sub(remote.receivedAt) > summaryTTL || !request.allowsRegion(region) || !remote.hasVersion(request) || !p.mayOverflow(now, request, region) {
 			continue
 		}
 		ownPrefill := prefillTime(request.Work.Prompt-sharedTokens(request.Work.Parts), 1)
@@ -74,7 +74,7 @@
 		overrun := max(completion-request.Deadline.Sub(now), 0)
 		wait += overrun
 		if !found || wait < best.wait || wait == best.wait && region < best.region {
-			best, found = candidate{region: region, wait: wait, ownPrefill: ownPrefill, completion: completion, overrun: overrun}, true
+			best, found = candidate{region: region, wait: wait, ownPrefill: ownPrefill, completion: completion, overrun: overrun, distance: regionRoundTrip}, true
 		}
 	}
 	return best, found
