admitter, follower: requests that are held back wait for a moment

Cause: a less urgent request that found no headroom was refused at once, though headroom changes within milliseconds; and its Retry-After was the predicted excess, which sent callers back into the same overload. Change: such a request waits at its instance for up to half of the time to its objective, in queues by urgency that workspaces share (admitter, on queuer's order); one that the rate of departures cannot serve in time is refused when it comes. Retry-After follows the time that the overload has lasted and is spread. The headroom is 0.2 of the urgent objective.

--- a/internal/experimenter/caller.go
+++ b/internal/experimenter/caller.go
@@ -110,7 +110,8 @@
 	}
 	s.lastID++
 	id := s.lastID
-	decision := entry.policy.Place(s.now, s.placementRequest(at, id))
+	request := s.placementRequest(at, id)
+	decision := entry.policy.Place(s.now, request)
 	at.placements++
 	switch {
 	case decision.RefusalReason != "" && at.relayed:
@@ -120,20 +121,29 @@
 			at.triedRegions = append(at.triedRegions, entry.region.Name)
 			s.place(at, at.entry)
 		})
-	case decision.RefusalReason != "" || at.placements > maxPlacements:
-		if decision.RefusalReason == "" {
-			entry.policy.Finish(s.now, id, placer.OutcomeAbandoned)
+	case decision.RefusalReason != "":
+		if !s.wait(at, entry, request, decision) {
+			s.refuse(at, decision.RetryAfter)
 		}
+	case at.placements > maxPlacements:
+		entry.policy.Finish(s.now, id, placer.OutcomeAbandoned)
 		s.refuse(at, decision.RetryAfter)
-	case decision.Region != "":
-		at.relayed, at.relayID = true, id
-		remote := s.regionByName(decision.Region)
-		s.schedule(s.pattern.Network.BetweenRegions, func() {
-			s.place(at, remote.entries[s.random.IntN(len(remote.entries))])
-		})
 	default:
+		s.carryOut(at, entry, id, decision)
+	}
+}
+
+// carryOut relays an attempt to another region or sends it to an engine.
+func (s *simulation) carryOut(at *attempt, entry *entryInstance, id uint64, decision placer.Decision) {
+	if decision.Region == "" {
 		s.sendToEngine(at, entry, id, decision)
+		return
 	}
+	at.relayed, at.relayID = true, id
+	remote := s.regionByName(decision.Region)
+	s.schedule(s.pattern.Network.BetweenRegions, func() {
+		s.place(at, remote.entries[s.random.IntN(len(remote.entries))])
+	})
 }
 
 func (s *simulation) regionByName(name string) *region {
--- a/internal/experimenter/simulation.go
+++ b/internal/experimenter/simulation.go
@@ -58,8 +58,9 @@
 
 // entryInstance is an entry instance with its policy.
 type entryInstance struct {
-	policy Policy
-	region *region
+	policy  Policy
+	region  *region
+	waiting waitingRoom
 	location
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -85,6 +85,7 @@
 	// reportedTo is the representative that got the last report.
 	reportedTo     string
 	placer         placer.Placer
+	waiting        waitingRoom
 	quotas         apportioner.Apportioner
 	beaconSequence uint64
 	watchAnswered  bool
@@ -277,7 +278,9 @@
 func (f *Follower) RecordFirstEvent(id uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.placer.RecordFirstEvent(time.Now(), id)
+	now := time.Now()
+	f.placer.RecordFirstEvent(now, id)
+	f.serveWaiting(now)
 }
 
 // RecordNotice records what the server of a placed request says about itself.
@@ -291,7 +294,9 @@
 func (f *Follower) Finish(id uint64, outcome placer.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.placer.Finish(time.Now(), id, outcome)
+	now := time.Now()
+	f.placer.Finish(now, id, outcome)
+	f.serveWaiting(now)
 }
 
 // FinishRelay records whether another region took a relayed request.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -65,6 +65,9 @@
 			decision = f.placeAtVersion(out, &request)
 			return decision.RefusalReason != placer.ReasonNoServer
 		})
+		if decision.RefusalReason != "" && !decision.WaitUntil.IsZero() && try == 0 {
+			decision = f.awaitPlacement(ctx, call, request, decision)
+		}
 		if decision.RefusalReason != "" {
 			return f.giveUpUnplaced(ctx, out, decision)
 		}
@@ -87,6 +90,21 @@
 	}
 }
 
+// awaitPlacement lets a call wait for a placement that was refused it for now.
+func (f *Forwarder) awaitPlacement(ctx context.Context, call *Call, request placer.Request, refusal placer.Decision) placer.Decision {
+	call.open.enter(phaseWaiting)
+	started := time.Now()
+	decision := f.fleet.Await(ctx, request, workspaceName(call), refusal)
+	call.record.waited = time.Since(started)
+	f.metrics.Observe("waiting-room", call.record.waited)
+	if decision.RefusalReason == "" {
+		f.metrics.Count("waiting-room-placed")
+	} else {
+		f.metrics.Count("waiting-room-refused")
+	}
+	return decision
+}
+
 // makeAttempt makes one attempt, either at a server of this region or at an
 // instance of another region.
 func (f *Forwarder) makeAttempt(ctx context.Context, out *callerResponse, id uint64, decision placer.Decision) attemptResult {
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -31,6 +32,9 @@
 	// Place decides where a request runs. A placement at a server must be ended
 	// with Finish.
 	Place(request placer.Request) placer.Decision
+	// Await lets a request wait that Place has refused with a time until which it may
+	// wait. It returns a placement, or the refusal.
+	Await(ctx context.Context, request placer.Request, workspace string, refusal placer.Decision) placer.Decision
 	// RecordFirstEvent records that the first byte of the response to a placed
 	// request has arrived.
 	RecordFirstEvent(id uint64)
--- a/internal/forwarder/fleet_test.go
+++ b/internal/forwarder/fleet_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net/netip"
 	"sync"
 	"time"
@@ -34,7 +35,10 @@
 func (f *testFleet) DefinitionBehind() time.Duration { return 0 }
 func (f *testFleet) RecordFirstEvent(uint64)         {}
 
-func (f *testFleet) FinishRelay(uint64, bool)           {}
+func (f *testFleet) FinishRelay(uint64, bool) {}
+func (f *testFleet) Await(_ context.Context, _ placer.Request, _ string, refusal placer.Decision) placer.Decision {
+	return refusal
+}
 func (f *testFleet) RecordNotice(uint64, placer.Notice) {}
 
 func (f *testFleet) Place(request placer.Request) placer.Decision {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -107,6 +107,8 @@
 	cachedTokens  int64
 	usableServers int
 	attempts      int
+	// waited is how long the call waited for a placement.
+	waited time.Duration
 	// timeToFirstByte is measured from the call's arrival; 0 until then.
 	timeToFirstByte time.Duration
 	received        receivedBody
--- a/internal/forwarder/open.go
+++ b/internal/forwarder/open.go
@@ -14,6 +14,7 @@
 	phaseChecks
 	phaseBody
 	phaseChoice
+	phaseWaiting
 	phaseServer
 	phaseRelay
 	phaseAnswer
@@ -21,7 +22,7 @@
 	phaseRefused
 )
 
-var phaseNames = []string{"head", "checks", "body", "choice", "server", "relay", "answer", "refused"}
+var phaseNames = []string{"head", "checks", "body", "choice", "waiting", "server", "relay", "answer", "refused"}
 
 // openRequest is a request in progress.
 type openRequest struct {
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -33,13 +33,10 @@
 // The line contains no key and no body.
 func (f *Forwarder) reportCall(call *Call, refusal *Refusal) {
 	took := time.Since(call.Arrived)
-	route, workspace := "", ""
+	route, workspace := "", workspaceName(call)
 	if call.Route != nil {
 		route = call.Route.Name
 	}
-	if call.Workspace != nil {
-		workspace = call.Workspace.Name
-	}
 	outcome, reason, limiter := "answered", "", &f.answeredLogLimiter
 	switch {
 	case refusal != nil && refusal.MayHaveRun:
@@ -97,9 +94,17 @@
 		"route", route, "workspace", workspace, "version", record.definitionVersion, "behind", record.behind, "unconfirmed", record.unconfirmed,
 		"bound", call.HomeRegionsOnly, "homes", call.HomeRegions, "relayed", call.Relayed, "server", record.server, "server-version", record.serverVersion,
 		"region", record.relayRegion, "usable", record.usableServers, "attempts", record.attempts,
-		"predicted", record.predictedWait, "cached", record.cachedTokens,
+		"waited", record.waited, "predicted", record.predictedWait, "cached", record.cachedTokens,
 		"prompt", call.Work.Prompt, "expected", call.Work.Expected, "first", record.timeToFirstByte, "took", took, "left", left,
 		"framing", record.received.framing, "bytes", record.received.bytes, "events", record.received.events,
 		"ended", record.connectionEnd, "level", record.level, "request-hash", quarantiner.HashName(call.fingerprint), "shared-parts", call.traits().PartNames(), "duplicates", record.received.duplicates, "unfinished", record.received.unfinishedBytes,
 		"retry-after", retryAfter, "left-out", leftOut)
 }
+
+// workspaceName returns the name of a call's workspace, or "" if it has none.
+func workspaceName(call *Call) string {
+	if call.Workspace == nil {
+		return ""
+	}
+	return call.Workspace.Name
+}
--- a/internal/placer/headroom.go
+++ b/internal/placer/headroom.go
@@ -18,7 +18,7 @@
 	// headroomQueueShare is the share of the urgent kind's objective that the queue
 	// before a less urgent request may take. The rest is for the urgent request's own
 	// prefill and for what other instances place until their loads are known here.
-	headroomQueueShare = 0.3
+	headroomQueueShare = 0.2
 	// headroomWaitFactor replaces urgentWaitFactor for kinds for which others leave
 	// headroom. A late answer holds its slot as long as one in time, which another caller
 	// would have had.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -110,6 +110,9 @@
 	// RetryAfter is how long the caller of a refused request should wait before it
 	// retries.
 	RetryAfter time.Duration
+	// WaitUntil, unless zero, is until when a refused request may wait for a placement
+	// and still meet its objective.
+	WaitUntil time.Time
 	// PredictedDuration is the predicted time to the last event. It is set only
 	// together with Server.
 	PredictedDuration time.Duration
@@ -152,6 +155,8 @@
 	// reopenedAt is when closed failure domains were reopened, by their name.
 	reopenedAt map[string]time.Time
 	kinds      map[kindKey]kind
+	// refusals holds the overloads in which requests of a kind are refused.
+	refusals map[kindKey]overload
 	// overflow limits relays to other regions, of which relaysByID holds those without an
 	// outcome.
 	overflow   overflower.Overflower
@@ -194,7 +199,9 @@
 		return p.remoteOrRefuse(now, request, remote)
 	}
 	if excess := p.excessWait(now, request, local); excess > 0 {
-		return Decision{RefusalReason: ReasonOverloaded, PredictedWait: local.wait, RetryAfter: excess, UsableServers: local.usableServers}
+		decision := p.refuseOverloaded(now, request, local, excess)
+		decision.UsableServers = local.usableServers
+		return decision
 	}
 	return p.assign(now, request, local)
 }
@@ -203,7 +210,7 @@
 // there would be too long.
 func (p *Placer) remoteOrRefuse(now time.Time, request Request, remote candidate) Decision {
 	if excess := p.excessWait(now, request, remote); excess > 0 {
-		return Decision{RefusalReason: ReasonOverloaded, PredictedWait: remote.wait, RetryAfter: excess}
+		return p.refuseOverloaded(now, request, remote, excess)
 	}
 	p.startRelay(now, request, remote.region)
 	return Decision{Region: remote.region, PredictedWait: remote.wait}
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -54,6 +54,12 @@
 	if now.Add(wait).After(item.Deadline) {
 		return wait, false
 	}
+	q.Add(item)
+	return wait, true
+}
+
+// Add adds a request whatever its deadline.
+func (q *Queue) Add(item Item) {
 	if q.byID == nil {
 		q.byID = map[uint64]*Item{}
 		q.finishByWorkspace = map[string]float64{}
@@ -69,7 +75,19 @@
 	q.waitingCost += item.Cost
 	q.byID[item.ID] = &item
 	heap.Push(&q.items, &item)
-	return wait, true
+}
+
+// Peek returns the request that goes next. It returns false if the queue is empty.
+func (q *Queue) Peek() (Item, bool) {
+	if q.items.Len() == 0 {
+		return Item{}, false
+	}
+	return *q.items[0], true
+}
+
+// WaitingCost returns the total cost of the waiting requests.
+func (q *Queue) WaitingCost() float64 {
+	return q.waitingCost
 }
 
 // Pop removes and returns the request that goes next. It returns false if the
