placer: slowdowns that servers report count in predictions

Cause: engines share their machines with other work and are up to 2.5 times slower for some 600 ms at a time. They say so in X-Server-Load, which nothing read. The latency ratio follows too slowly and stays high after the slow phase.

Change: platform decodes the header into placer.Notice; malformed, negative or absurd texts are ignored and counted (invalid-server-loads). The placer keeps the newest slowdown of each start of a server with its time and multiplies its predictions by it, bounded to 0.5 to 4, while it is younger than a second. placer.Load carries it with its age between the instances of a region; digests have a field of their own for it, since earlier releases reject longer load arrays. The latency ratio of a server that reports its slowdown is learned from what the slowdown does not explain, and corrects false figures.

Result: a server that reports 250 is avoided while the figure is fresh and used afterwards.

--- a/internal/beaconer/digest.go
+++ b/internal/beaconer/digest.go
@@ -16,6 +16,9 @@
 	// Loads are the summed loads of all instances, by server name. A zero load in a
 	// digest that is not complete means that nothing is left there.
 	Loads map[string]PackedLoad `cbor:"l,omitempty"`
+	// Slowdowns are the newest slowdowns that servers have reported to any instance, by
+	// server name. Every digest has all that are recent.
+	Slowdowns map[string]PackedSlowdown `cbor:"s,omitempty"`
 	// Included is the sequence of the newest beacon of each instance that the sums
 	// include, by [NameHash].
 	Included map[uint32]uint64 `cbor:"i,omitempty"`
@@ -43,7 +46,40 @@
 	EjectedBy     int32
 }
 
-// PackLoads returns loads in their packed form.
+// PackedSlowdown is the slowdown of a [placer.Load]. It is apart from [PackedLoad] because
+// earlier releases reject arrays of another length.
+type PackedSlowdown struct {
+	_         struct{} `cbor:",toarray"`
+	Percent   int32
+	AgeMillis int32
+}
+
+// SplitSlowdowns returns loads without the slowdowns, and the slowdowns. Servers without
+// load are left out of the loads.
+func SplitSlowdowns(loads map[string]placer.Load) (map[string]placer.Load, map[string]PackedSlowdown) {
+	rest, slowdowns := make(map[string]placer.Load, len(loads)), map[string]PackedSlowdown{}
+	for name, load := range loads {
+		if load.Slowdown > 0 {
+			slowdowns[name] = PackedSlowdown{Percent: load.Slowdown, AgeMillis: load.SlowdownAge}
+			if load = load.WithoutSlowdown(); load == (placer.Load{}) {
+				continue
+			}
+		}
+		rest[name] = load
+	}
+	return rest, slowdowns
+}
+
+// SlowdownLoads returns the slowdowns of the digest as loads without anything else.
+func (d *Digest) SlowdownLoads() map[string]placer.Load {
+	loads := make(map[string]placer.Load, len(d.Slowdowns))
+	for name, slowdown := range d.Slowdowns {
+		loads[name] = placer.Load{Slowdown: slowdown.Percent, SlowdownAge: slowdown.AgeMillis}
+	}
+	return loads
+}
+
+// PackLoads returns loads in their packed form, without the slowdowns.
 func PackLoads(loads map[string]placer.Load) map[string]PackedLoad {
 	packed := make(map[string]PackedLoad, len(loads))
 	for name, load := range loads {
--- a/internal/follower/collect.go
+++ b/internal/follower/collect.go
@@ -177,6 +177,7 @@
 		klog.InfoS("representative followed", "domain", f.self.FailureDomain, "speaker", beacon.Name, "servers", len(beacon.Digest.Loads))
 	}
 	f.placer.SetCollectedLoads(now, f.digestsHeard.otherLoads())
+	f.placer.RecordSlowdowns(now, true, beacon.Digest.SlowdownLoads())
 	f.placer.AddCacheFills(now, true, beacon.CacheFills)
 	if beacon.Digest.Complete {
 		f.recordDomainState(now, beacon)
--- a/internal/follower/digests.go
+++ b/internal/follower/digests.go
@@ -132,7 +132,8 @@
 // digest returns a digest of the summed loads. One that is not complete has the sums
 // that differ from those of the last complete one.
 func (w *digestWriter) digest(sums map[string]placer.Load, complete bool) *beaconer.Digest {
-	digest := &beaconer.Digest{Complete: complete, Included: map[uint32]uint64{}}
+	sums, slowdowns := beaconer.SplitSlowdowns(sums)
+	digest := &beaconer.Digest{Complete: complete, Slowdowns: slowdowns, Included: map[uint32]uint64{}}
 	for name, sequence := range w.included {
 		digest.Included[beaconer.NameHash(name)] = sequence
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -172,6 +172,8 @@
 	Notice placer.Notice
 	// InvalidLimit is the text of a limit that could not be decoded, or empty.
 	InvalidLimit string
+	// InvalidLoad is the text of a reported load that could not be decoded, or empty.
+	InvalidLoad string
 }
 
 // Dialect defines the HTTP headers and the error format that callers and servers
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -152,11 +152,19 @@
 				"limit", info.InvalidLimit[:min(len(info.InvalidLimit), maxNoteBytes)], "left-out", leftOut)
 		}
 	}
+	if info.InvalidLoad != "" {
+		f.metrics.Count("invalid-server-loads")
+		if leftOut, ok := f.noticeLogLimiter.Allow(time.Now()); ok {
+			klog.InfoS("server reported a load that cannot be decoded", "server", server,
+				"load", info.InvalidLoad[:min(len(info.InvalidLoad), maxNoteBytes)], "left-out", leftOut)
+		}
+	}
 	if info.Notice == (placer.Notice{}) {
 		return
 	}
 	f.fleet.RecordNotice(id, info.Notice)
-	if info.Notice != (placer.Notice{Unlimited: true}) {
+	info.Notice.Load = placer.ServerLoad{} // servers may report it in every response
+	if info.Notice != (placer.Notice{}) && info.Notice != (placer.Notice{Unlimited: true}) {
 		f.metrics.Count("server-notices")
 	}
 }
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -142,7 +142,7 @@
 	default:
 		option.cost += time.Duration(missing) * prefillCostPerToken
 	}
-	option.ownPrefill = time.Duration(float64(prefillTime(request.Work.Prompt-option.cachedTokens, s.totalLoad().Running)) * s.latencyRatio)
+	option.ownPrefill = time.Duration(float64(prefillTime(request.Work.Prompt-option.cachedTokens, s.totalLoad().Running)) * s.timeFactor(now))
 	option.wait += s.firstEventWait(now, request.Work.Prompt-option.cachedTokens)
 	if engine == nil {
 		option.completion = option.wait
@@ -202,7 +202,7 @@
 	step := decodeStepTime + time.Duration(s.totalLoad().Running+1)*decodeTimePerRequest
 	utilization := s.prefillUtilization(now)
 	free := 1 - min(utilization, maxPrefillUtilization)
-	return time.Duration(float64(work.expectedOutput()) * float64(step) / free * s.latencyRatio)
+	return time.Duration(float64(work.expectedOutput()) * float64(step) / free * s.timeFactor(now))
 }
 
 // prefillUtilization returns the share of an engine's time that prefilling the
--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -16,6 +16,11 @@
 	PrefillRate int64 `cbor:"c,omitempty"`
 	// EjectedBy is how many instances have ejected the server for its failures.
 	EjectedBy int32 `cbor:"e,omitempty"`
+	// Slowdown is the newest slowdown that the server has reported to the instances, in
+	// percent, and SlowdownAge its age in milliseconds. Both are 0 if none is known that is
+	// recent. They are not part of sums.
+	Slowdown    int32 `cbor:"s,omitempty"`
+	SlowdownAge int32 `cbor:"a,omitempty"`
 }
 
 func (l *Load) add(other Load) {
@@ -53,11 +58,11 @@
 	sameDomain bool
 }
 
-// loadAt returns the load that a peer has placed on a server. The ejections of other
-// failure domains are left out: a server that they have ejected may well be
-// reachable from this one.
+// loadAt returns the load that a peer has placed on a server, without the slowdown. The
+// ejections of other failure domains are left out: a server that they have ejected may
+// well be reachable from this one.
 func (o peer) loadAt(server string) Load {
-	load := o.loads[server]
+	load := o.loads[server].WithoutSlowdown()
 	if !o.sameDomain {
 		load.EjectedBy = 0
 	}
@@ -68,7 +73,8 @@
 const peerLoadTTL = 2 * time.Second
 
 // FullLoads returns the load of this instance on every server where it has
-// running requests or that it has ejected, by server name. ChangedLoads reports
+// running requests, that it has ejected, or that has lately reported a slowdown to it,
+// by server name. ChangedLoads reports
 // relative to the last call.
 func (p *Placer) FullLoads(now time.Time) map[string]Load {
 	for _, s := range p.serversByName {
@@ -81,7 +87,7 @@
 func (p *Placer) OwnLoads(now time.Time) map[string]Load {
 	loads := map[string]Load{}
 	for name, s := range p.serversByName {
-		if load := s.reportedLoad(now); load.Running > 0 || load.EjectedBy > 0 {
+		if load := s.reportedLoad(now); load.Running > 0 || load.EjectedBy > 0 || load.Slowdown > 0 {
 			loads[name] = load
 		}
 	}
@@ -109,11 +115,12 @@
 	if now.Before(s.ejectedUntil) {
 		load.EjectedBy = 1
 	}
+	load.Slowdown, load.SlowdownAge = s.slowdowns.own.encode(now)
 	return load
 }
 
 // DomainLoads returns the summed loads of all instances of this failure domain that
-// were heard recently, by server name.
+// were heard recently, by server name, with the newest slowdown that any was told.
 func (p *Placer) DomainLoads(now time.Time) map[string]Load {
 	loads := p.OwnLoads(now)
 	for _, other := range p.peersByName {
@@ -126,6 +133,7 @@
 			loads[name] = sum
 		}
 	}
+	p.addDomainSlowdowns(now, loads)
 	return loads
 }
 
@@ -145,6 +153,7 @@
 		p.RecordNeighbour(now, name)
 	}
 	p.peersByName[name] = peer{lastHeard: now, loads: loads, sameDomain: sameDomain}
+	p.RecordSlowdowns(now, sameDomain, loads)
 	p.dropStalePeers(now)
 	p.sumPeerLoads(now)
 }
@@ -187,6 +196,7 @@
 	if sender.sameDomain {
 		p.RecordNeighbour(now, name)
 	}
+	p.RecordSlowdowns(now, sender.sameDomain, changes)
 	for server, load := range changes {
 		if s, exists := p.serversByName[server]; exists {
 			s.peerLoad.subtract(sender.loadAt(server))
--- a/internal/placer/notice.go
+++ b/internal/placer/notice.go
@@ -18,6 +18,8 @@
 	Limited bool
 	// Unlimited means that the server has named no limit, in an answer of its own.
 	Unlimited bool
+	// Load is the load that the server reported.
+	Load ServerLoad
 }
 
 // serverStart identifies one start of a server.
@@ -49,6 +51,7 @@
 		return
 	}
 	p.recordLimit(now, placed, said)
+	p.recordServerLoad(now, placed, said.Load)
 	if !said.Leaving && said.RetryAfter == 0 {
 		return
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -158,6 +158,9 @@
 	placedAt       time.Time
 	predictedWait  time.Duration
 	firstEventSeen bool
+	// timeFactor is the factor in predictedWait, and slowdown the part of it that the
+	// server has reported, or 0 if it has not.
+	timeFactor, slowdown float64
 }
 
 // remoteService is the last summary of a service that another region reported.
@@ -297,7 +300,7 @@
 	p.recordOwnCacheFill(now, s, request.Work.Parts)
 	s.cache.insert(request.Work.Parts, s.cacheCapacity)
 	p.limits.Take(now, s.start().throttled(), request.isUrgent())
-	p.placementsByID[request.ID] = &placement{start: s.start(), load: load, placedAt: now, predictedWait: best.wait}
+	p.placementsByID[request.ID] = &placement{start: s.start(), load: load, placedAt: now, predictedWait: best.wait, timeFactor: s.timeFactor(now), slowdown: s.slowdowns.factor(now)}
 	decision := Decision{Server: &s.Server, PredictedWait: best.wait, PredictedDuration: best.completion, CachedTokens: best.cachedTokens, UsableServers: best.usableServers}
 	if best.copySource != nil {
 		decision.CopySource = &best.copySource.Server
@@ -316,7 +319,7 @@
 	if s, known := p.serversByName[placed.start.name]; known {
 		s.ownLoad.PrefillTokens -= placed.load.PrefillTokens
 		s.loadChanged = true
-		s.recordLatency(now.Sub(placed.placedAt), placed.predictedWait)
+		s.recordFirstEvent(now, placed)
 	}
 	placed.load.PrefillTokens = 0
 }
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -35,13 +35,15 @@
 	// prefillRate measures the tokens that this instance sends to be prefilled.
 	prefillRate rateMeter
 	// latencyRatio is the moving average of the observed time to the first event
-	// over the one that is predicted for a ratio of 1.
+	// over the one that is predicted for a ratio of 1, and for the slowdown if the server
+	// reports it.
 	latencyRatio float64
 	cache        prefixCache
 	// cacheCapacity is how many tokens of earlier prompts the server is expected to
 	// keep cached.
 	cacheCapacity int64
 	notice        notice
+	slowdowns     slowdowns
 
 	health
 }
@@ -105,13 +107,13 @@
 	total := s.totalLoad()
 	if !s.isEngine {
 		rounds := float64(total.Running+1) / float64(max(s.Slots, 1))
-		return time.Duration(max(rounds, 1) * float64(plainRequestTime) * s.latencyRatio)
+		return time.Duration(max(rounds, 1) * float64(plainRequestTime) * s.timeFactor(now))
 	}
 	wait := firstEventOverhead + prefillTime(max(total.PrefillTokens, s.expectedQueueTokens(now))+uncached, total.Running)
 	if excess := int(total.Running) + 1 - s.Slots; excess > 0 && s.Slots > 0 {
 		wait += time.Duration(excess) * meanSlotTime / time.Duration(s.Slots)
 	}
-	return time.Duration(float64(wait) * s.latencyRatio)
+	return time.Duration(float64(wait) * s.timeFactor(now))
 }
 
 // expectedQueueTokens returns the mean number of tokens that are queued for
@@ -131,20 +133,27 @@
 	return now.Before(s.coldUntil)
 }
 
-// latencyRatioWeight is the weight of one observation in the latency ratio.
-const latencyRatioWeight = 0.1
+// latencyRatioWeight is the weight of one observation in the latency ratio, which stays
+// from minLatencyRatio to maxLatencyRatio.
+const (
+	latencyRatioWeight = 0.1
+	// minPredictedLatency is the shortest predicted time that is compared with the
+	// observed one.
+	minPredictedLatency = 20 * time.Millisecond
+	minLatencyRatio     = 0.7
+	maxLatencyRatio     = 3
+)
 
 // recordLatency updates the latency ratio with the observed and the predicted
 // time to a first event. Very short predictions are skipped: their ratio says
 // little about the server.
 func (s *server) recordLatency(observed, predicted time.Duration) {
-	const minPredicted = 20 * time.Millisecond
-	if predicted < minPredicted {
+	if predicted < minPredictedLatency {
 		return
 	}
 	ratio := observed.Seconds() / predicted.Seconds() * s.latencyRatio
 	s.latencyRatio += latencyRatioWeight * (min(max(ratio, 0.5), 4) - s.latencyRatio)
-	s.latencyRatio = min(max(s.latencyRatio, 0.7), 3)
+	s.latencyRatio = min(max(s.latencyRatio, minLatencyRatio), maxLatencyRatio)
 }
 
 // SetServers replaces the list of the servers of this region. It keeps the load of
@@ -190,7 +199,7 @@
 	s, exists := p.serversByName[announced.Name]
 	if !exists || s.StartedAtMillis != announced.StartedAtMillis {
 		previous := s
-		s = &server{nameHash: xxhash.Sum64String(announced.Name), latencyRatio: 1}
+		s = &server{nameHash: xxhash.Sum64String(announced.Name), latencyRatio: 1, slowdowns: slowdowns{since: now}}
 		if previous != nil {
 			s.ownLoad = previous.ownLoad
 		}
