--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -287,6 +287,13 @@
 	f.placer.RecordNotice(time.Now(), id, notice)
 }
 
+// RecordOutput records that the response to a placed request was a stream of some events.
+func (f *Follower) RecordOutput(id uint64, events int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.placer.RecordOutput(time.Now(), id, events)
+}
+
 // Finish ends a placed request and records its outcome.
 func (f *Follower) Finish(id uint64, outcome placer.Outcome) {
 	f.mu.Lock()
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -93,6 +93,7 @@
 	record := &out.call.record
 	record.attempts++
 	record.predictedWait, record.cachedTokens, record.usableServers = decision.PredictedWait, decision.CachedTokens, decision.UsableServers
+	record.slowdown = decision.Slowdown
 	if decision.Region != "" {
 		out.call.open.enter(phaseRelay)
 		record.relayRegion, record.server, record.serverVersion = decision.Region, "", ""
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -37,6 +37,9 @@
 	// RecordNotice records what the server of a placed request says about itself in
 	// its response.
 	RecordNotice(id uint64, notice placer.Notice)
+	// RecordOutput records that the response to a placed request was a stream of some
+	// events, the last of which has just arrived.
+	RecordOutput(id uint64, events int)
 	// Finish ends the placement of a request at a server.
 	Finish(id uint64, outcome placer.Outcome)
 	// ChargeQuota charges a workspace. If its quota is used up, ChargeQuota
@@ -60,4 +63,6 @@
 	Count(name string)
 	// Observe adds a duration to a histogram.
 	Observe(name string, took time.Duration)
+	// ObserveRatio adds a ratio to the histogram of a service.
+	ObserveRatio(name, service string, ratio float64)
 }
--- a/internal/forwarder/fleet_test.go
+++ b/internal/forwarder/fleet_test.go
@@ -35,6 +35,7 @@
 func (f *testFleet) RecordFirstEvent(uint64)         {}
 
 func (f *testFleet) RecordNotice(uint64, placer.Notice) {}
+func (f *testFleet) RecordOutput(uint64, int)           {}
 
 func (f *testFleet) Place(request placer.Request) placer.Decision {
 	mayRelay := f.relayRegion != "" && !request.LocalOnly && len(request.TriedRegions) == 0
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -104,6 +104,8 @@
 	relayRegion string
 	// predictedWait is the placer's prediction of the time to the first event.
 	predictedWait time.Duration
+	// slowdown is the reported slowdown of the server in percent; 0 if it is not known.
+	slowdown      int32
 	cachedTokens  int64
 	usableServers int
 	attempts      int
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -86,7 +86,11 @@
 	started := time.Now()
 	out.onFirstByte = func() {
 		f.fleet.RecordFirstEvent(id)
-		f.metrics.Observe("server-first-byte", time.Since(started))
+		took := time.Since(started)
+		f.metrics.Observe("server-first-byte", took)
+		if decision.PredictedFirstEvent > 0 && took > 0 {
+			f.metrics.ObserveRatio("first-event-predicted-over-observed", decision.Server.Service, decision.PredictedFirstEvent.Seconds()/took.Seconds())
+		}
 	}
 	out.breakCause = nil
 	begin := f.crashes.Observe(*decision.Server, out.call.traits())
@@ -97,6 +101,9 @@
 	if ctx.Err() != nil && result != resultAnswered {
 		outcome = placer.OutcomeAbandoned
 	}
+	if events := out.call.record.received.events; events > 0 && result == resultAnswered {
+		f.fleet.RecordOutput(id, events)
+	}
 	f.fleet.Finish(id, outcome)
 	return result
 }
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -26,11 +26,12 @@
 
 	mu         sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram
+	ratios     map[ratioName]*hdrhistogram.Histogram
 }
 
 // New returns a Measurer without counters and histograms.
 func New() *Measurer {
-	return &Measurer{registry: metrics.NewRegistry(), histograms: map[string]*hdrhistogram.Histogram{}}
+	return &Measurer{registry: metrics.NewRegistry(), histograms: map[string]*hdrhistogram.Histogram{}, ratios: map[ratioName]*hdrhistogram.Histogram{}}
 }
 
 // Count adds one to a counter, which is created at its first use.
@@ -55,7 +56,7 @@
 
 // ServeHTTP implements http.Handler. It writes a line for each counter and, for
 // each histogram, one with the number of values and one for each quantile, in
-// milliseconds. The order of the lines varies.
+// milliseconds, or as a ratio. The order of the lines varies.
 func (m *Measurer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	m.registry.Each(func(name string, metric any) {
@@ -72,4 +73,5 @@
 				float64(histogram.ValueAtQuantile(quantile))/1000)
 		}
 	}
+	m.writeRatios(w)
 }
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -142,7 +142,7 @@
 	default:
 		option.cost += time.Duration(missing) * prefillCostPerToken
 	}
-	option.ownPrefill = time.Duration(float64(prefillTime(request.Work.Prompt-option.cachedTokens, s.totalLoad().Running)) * s.timeFactor(now))
+	option.ownPrefill = time.Duration(float64(s.prefillTime(request.Work.Prompt-option.cachedTokens, s.totalLoad().Running)) * s.timeFactor(now))
 	option.wait += s.firstEventWait(now, request.Work.Prompt-option.cachedTokens)
 	if engine == nil {
 		option.completion = option.wait
@@ -161,7 +161,7 @@
 // interferenceCost returns the cost of the delay that prefilling a prompt causes
 // to the running requests.
 func (s *server) interferenceCost(uncached int64) time.Duration {
-	return time.Duration(interferenceWeight * float64(s.totalLoad().Running) * float64(prefillTime(uncached, 0)))
+	return time.Duration(interferenceWeight * float64(s.totalLoad().Running) * float64(s.prefillTime(uncached, 0)))
 }
 
 // reservedServer returns the server of a service that is given fewer prompts to
@@ -199,17 +199,20 @@
 // outputTime predicts how long an engine takes to generate the output of a
 // request while it also serves the running batch and prefills incoming prompts.
 func (s *server) outputTime(now time.Time, work Work) time.Duration {
-	step := decodeStepTime + time.Duration(s.totalLoad().Running+1)*decodeTimePerRequest
-	utilization := s.prefillUtilization(now)
-	free := 1 - min(utilization, maxPrefillUtilization)
-	return time.Duration(float64(work.expectedOutput()) * float64(step) / free * s.timeFactor(now))
+	step := s.stepTime(s.totalLoad().Running + 1)
+	return time.Duration(float64(work.expectedOutput()) * float64(step) / s.decodingShare(now) * s.timeFactor(now))
 }
 
 // prefillUtilization returns the share of an engine's time that prefilling the
 // prompts of all instances takes. It exceeds 1 if more arrive than the engine can
 // prefill.
 func (s *server) prefillUtilization(now time.Time) float64 {
-	return (s.prefillRate.rate(now) + float64(s.peerLoad.PrefillRate)) / (prefillTokensPerMs * 1000)
+	return (s.prefillRate.rate(now) + float64(s.peerLoad.PrefillRate)) / (s.prefillTokensPerMs() * 1000)
+}
+
+// decodingShare returns the share of an engine's time that prefills leave for decoding.
+func (s *server) decodingShare(now time.Time) float64 {
+	return 1 - min(s.prefillUtilization(now), maxPrefillUtilization)
 }
 
 // maxPrefillUtilization bounds the share of an engine's time that is assumed to go
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -115,6 +115,11 @@
 	// CopySource, unless nil, is a server whose cache holds more of the prompt. The
 	// chosen server can copy that part instead of computing it.
 	CopySource *registrar.Server
+	// PredictedFirstEvent is PredictedWait without what it contains for an end after the
+	// deadline. Slowdown is the slowdown that the server has reported, in percent, or 0 if
+	// it is not known. Both are set only together with Server.
+	PredictedFirstEvent time.Duration
+	Slowdown            int32
 	// UsableServers is how many servers of this region were eligible. It is 0 if
 	// the decision was made by the prediction for another region.
 	UsableServers int
@@ -149,6 +154,8 @@
 	reopenedAt map[string]time.Time
 	// cacheFills are reported to other instances; the newest is last.
 	cacheFills []timedCacheFill
+	// speeds are the learned speeds of the services with engines, by service name.
+	speeds map[string]*serviceSpeed
 }
 
 // placement is a request that was placed on a server and has not ended yet.
@@ -161,6 +168,8 @@
 	// timeFactor is the factor in predictedWait, and slowdown the part of it that the
 	// server has reported, or 0 if it has not.
 	timeFactor, slowdown float64
+	// speed is what the speed of the service is learned from.
+	speed speedSample
 }
 
 // remoteService is the last summary of a service that another region reported.
@@ -293,6 +302,7 @@
 	s := best.server
 	uncached := request.Work.Prompt - best.cachedTokens
 	load := Load{Running: 1, PrefillTokens: uncached, MemoryTokens: request.Work.memoryTokens()}
+	sample := s.newSpeedSample(uncached, best)
 	s.prefillRate.add(now, float64(uncached))
 	s.ownLoad.add(load)
 	s.loadChanged = true
@@ -300,8 +310,10 @@
 	p.recordOwnCacheFill(now, s, request.Work.Parts)
 	s.cache.insert(request.Work.Parts, s.cacheCapacity)
 	p.limits.Take(now, s.start().throttled(), request.isUrgent())
-	p.placementsByID[request.ID] = &placement{start: s.start(), load: load, placedAt: now, predictedWait: best.wait, timeFactor: s.timeFactor(now), slowdown: s.slowdowns.factor(now)}
+	p.placementsByID[request.ID] = &placement{start: s.start(), load: load, placedAt: now, predictedWait: best.wait, timeFactor: s.timeFactor(now), slowdown: s.slowdowns.factor(now), speed: sample}
 	decision := Decision{Server: &s.Server, PredictedWait: best.wait, PredictedDuration: best.completion, CachedTokens: best.cachedTokens, UsableServers: best.usableServers}
+	decision.PredictedFirstEvent = best.wait - best.overrun
+	decision.Slowdown, _ = s.slowdowns.newest.encode(now)
 	if best.copySource != nil {
 		decision.CopySource = &best.copySource.Server
 	}
--- a/internal/placer/region.go
+++ b/internal/placer/region.go
@@ -68,7 +68,7 @@
 		if !serves || remote.Servers == 0 || now.Sub(remote.receivedAt) > summaryTTL || !request.allowsRegion(region) || !remote.hasVersion(request) {
 			continue
 		}
-		ownPrefill := prefillTime(request.Work.Prompt-sharedTokens(request.Work.Parts), 1)
+		ownPrefill := p.speeds[request.Service.Name].prefillTime(request.Work.Prompt-sharedTokens(request.Work.Parts), 1)
 		wait := remote.MinWait + regionRoundTrip + ownPrefill
 		completion := wait + time.Duration(request.Work.expectedOutput())*remote.MinTokenTime
 		overrun := max(completion-request.Deadline.Sub(now), 0)
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -44,6 +44,10 @@
 	cacheCapacity int64
 	notice        notice
 	slowdowns     slowdowns
+	// speed is the learned speed of the service; nil for plain services.
+	speed *serviceSpeed
+	// eventTokens is the number of tokens in an event of a stream.
+	eventTokens int64
 
 	health
 }
@@ -83,8 +87,8 @@
 	plainRequestTime = 15 * time.Millisecond
 )
 
-// prefillTime predicts how long an engine takes to prefill some tokens while it
-// also decodes a batch of running requests.
+// prefillTime predicts how long an engine whose speed is not known takes to prefill some
+// tokens while it also decodes a batch of running requests.
 func prefillTime(tokens int64, running int32) time.Duration {
 	if tokens <= 0 {
 		return 0
@@ -109,7 +113,7 @@
 		rounds := float64(total.Running+1) / float64(max(s.Slots, 1))
 		return time.Duration(max(rounds, 1) * float64(plainRequestTime) * s.timeFactor(now))
 	}
-	wait := firstEventOverhead + prefillTime(max(total.PrefillTokens, s.expectedQueueTokens(now))+uncached, total.Running)
+	wait := s.firstEventOverhead() + s.prefillTime(max(total.PrefillTokens, s.expectedQueueTokens(now))+uncached, total.Running)
 	if excess := int(total.Running) + 1 - s.Slots; excess > 0 && s.Slots > 0 {
 		wait += time.Duration(excess) * meanSlotTime / time.Duration(s.Slots)
 	}
@@ -177,6 +181,7 @@
 			s.State = registrar.StateGone
 		}
 	}
+	p.updateSpeeds()
 	p.Refresh(now)
 }
 
@@ -214,6 +219,9 @@
 	if service, defined := view.Service(announced.Service); defined {
 		s.isEngine = service.Engine != nil
 		s.cacheCapacity = expectedCacheCapacity(service)
+		if s.isEngine {
+			s.speed, s.eventTokens = p.speedOf(service.Name), int64(service.Engine.EventTokens)
+		}
 		if reopened := p.reopenedAt[announced.FailureDomain]; !reopened.IsZero() {
 			if until := reopened.Add(service.Warmup); until.After(s.coldUntil) {
 				s.coldUntil = until
--- a/internal/placer/slowdown.go
+++ b/internal/placer/slowdown.go
@@ -103,34 +103,20 @@
 // recordFirstEvent updates the latency ratio with the first event of a placement.
 func (s *server) recordFirstEvent(now time.Time, placed *placement) {
 	observed := now.Sub(placed.placedAt)
+	placed.speed.recordFirstEvent(now, s, observed)
 	if !s.slowdowns.reports || s.start() != placed.start {
 		s.recordLatency(observed, placed.predictedWait)
 		return
 	}
-	s.recordReportedLatency(observed, placed, s.explainedFactor(now, placed))
-}
-
-// explainedFactor returns by which factor the reported slowdowns explain the time to the
-// first event of a placement: the mean of those before and after it. It returns 1 if none
-// is known.
-func (s *server) explainedFactor(now time.Time, placed *placement) float64 {
-	before, after := placed.slowdown, s.slowdowns.factor(now)
-	switch {
-	case before == 0 && after == 0:
-		return 1
-	case before == 0:
-		return after
-	case after == 0:
-		return before
-	}
-	return (before + after) / 2
+	// The slowdown explains as much as the mean of those before and after the request does.
+	s.recordReportedLatency(observed, placed, meanFactor(placed.slowdown, s.slowdowns.factor(now)))
 }
 
 // recordReportedLatency updates the latency ratio of a server that reports its slowdown.
 // The part of the observed time that the slowdown explains is left out, so that the same
 // slowness is not counted twice.
 func (s *server) recordReportedLatency(observed time.Duration, placed *placement, explained float64) {
-	if placed.predictedWait < minPredictedLatency {
+	if placed.predictedWait < minPredictedLatency || placed.speed.learned != s.speed.isLearned() {
 		return
 	}
 	normal := placed.predictedWait.Seconds() / placed.timeFactor
@@ -148,6 +134,9 @@
 	}
 	s.slowdowns.recordOwn(slowdown{percent: load.Slowdown, at: now})
 	s.loadChanged = true
+	if speed := p.speeds[s.Service]; speed != nil && !speed.reports {
+		p.updateSpeed(s.Service)
+	}
 }
 
 // RecordSlowdowns records the slowdowns in the loads, by server name, that another instance
--- a/internal/placer/unreported_test.go
+++ b/internal/placer/unreported_test.go
@@ -52,6 +52,7 @@
 				instances[r.instance].RecordFirstEvent(now, r.id)
 			}
 			if !now.Before(r.end) {
+				instances[r.instance].RecordOutput(now, r.id, 20)
 				instances[r.instance].Finish(now, r.id, OutcomeAnswered)
 				continue
 			}
