--- a/internal/forwarder/fleet_test.go
+++ b/internal/forwarder/fleet_test.go
@@ -40,6 +40,7 @@
 	return refusal
 }
 func (f *testFleet) RecordNotice(uint64, placer.Notice) {}
+func (f *testFleet) RecordOutput(uint64, int)           {}
 
 func (f *testFleet) Place(request placer.Request) placer.Decision {
 	mayRelay := f.relayRegion != "" && !request.LocalOnly && len(request.TriedRegions) == 0
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -104,6 +104,8 @@
 	relayRegion string
 	// predictedWait is the placer's prediction of the time to the first event.
 	predictedWait time.Duration
+	// slowdown is the reported slowdown of the server in percent; 0 if it is not known.
+	slowdown      int32
 	cachedTokens  int64
 	usableServers int
 	attempts      int
@@ -174,6 +176,8 @@
 	Notice placer.Notice
 	// InvalidLimit is the text of a limit that could not be decoded, or empty.
 	InvalidLimit string
+	// InvalidLoad is the text of a reported load that could not be decoded, or empty.
+	InvalidLoad string
 }
 
 // Dialect defines the HTTP headers and the error format that callers and servers
