experimenter: engines that slow down and workspaces that send more

Cause: patterns could not play two things that the load roadmap requires: engines that share their machines with other work, and a workspace that sends several times its usual load. The placer gets nothing new: it reads neither the load that servers report nor a request's workspace. A burst of a kind that the pattern does not define is rejected; it was ignored.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -75,6 +75,9 @@
 	memory  memory
 	// stepEnd is when the current step ends; zero while the engine is idle.
 	stepEnd time.Time
+	// Slowdown multiplies the duration of the steps that start from now on. It is 1
+	// at normal speed, and may be changed at any time.
+	Slowdown float64
 	// PrefilledTokens counts prompt tokens that were prefilled. RepeatedTokens counts
 	// those of them in shared parts that had been prefilled before. BusyTime is the
 	// total time of all steps.
@@ -107,7 +110,10 @@
 
 // New returns an idle engine.
 func New(spec Spec) *Engine {
-	return &Engine{spec: spec, memory: memory{capacity: spec.Memory, partsByID: map[uint64]*cachedPart{}}, PrefilledBefore: map[uint64]bool{}}
+	return &Engine{
+		spec: spec, memory: memory{capacity: spec.Memory, partsByID: map[uint64]*cachedPart{}},
+		Slowdown: 1, PrefilledBefore: map[uint64]bool{},
+	}
 }
 
 // Submit offers a job. It returns false if the engine rejects it, because the
@@ -220,6 +226,7 @@
 	duration := e.spec.StepTime + time.Duration(decoding)*e.spec.StepTimePerRequest
 	duration += time.Duration(float64(e.spec.StepTimePerKilotoken) * float64(context) / 1000)
 	duration += time.Duration(float64(prefilling) / e.spec.PrefillRate * float64(time.Second))
+	duration = time.Duration(float64(duration) * e.Slowdown)
 	e.PrefilledTokens += prefilling
 	e.BusyTime += duration
 	e.stepEnd = now.Add(duration)
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -58,6 +58,20 @@
 	}
 }
 
+// TestSlowdownAppliesFromTheNextStep changes the speed within a step: that step must
+// keep its end, and the steps after it must take twice as long.
+func TestSlowdownAppliesFromTheNextStep(t *testing.T) {
+	e := New(spec())
+	assert.Assert(t, e.Submit(start, job(1, 500, 500, 3)))
+	begin, _ := e.NextWake()
+	e.Advance(begin)
+	e.Slowdown = 2
+	events, _ := drain(e)
+	assert.Equal(t, len(events), 2)
+	assert.Equal(t, events[0].At.Sub(begin), 105*time.Millisecond)
+	assert.Equal(t, events[1].At.Sub(events[0].At), 2*2*6*time.Millisecond)
+}
+
 func TestLargerBatchSlowsEachToken(t *testing.T) {
 	alone, batch := New(spec()), New(spec())
 	assert.Assert(t, alone.Submit(start, job(1, 10, 10, 100)))
--- a/internal/experimenter/experimenter.go
+++ b/internal/experimenter/experimenter.go
@@ -10,7 +10,7 @@
 	"github.com/boragehead/boragehead/internal/loader"
 )
 
-// ErrPattern marks patterns that name a region they do not define.
+// ErrPattern marks patterns whose entries contradict each other.
 var ErrPattern = errors.New("pattern contradicts itself")
 
 // Load reads and validates a pattern file. Invalid files give an error of kind
@@ -23,7 +23,8 @@
 	return pattern, trace.Wrap(pattern.check(), path)
 }
 
-// check rejects patterns that refer to unknown regions.
+// check rejects patterns that refer to unknown regions or kinds, or whose hot
+// workspaces send more than all requests.
 func (p Pattern) check() error {
 	var names []string
 	for _, r := range p.Regions {
@@ -41,6 +42,14 @@
 			return trace.Wrap(ErrPattern, "outages: no region %q", outage.Region)
 		}
 	}
+	for _, burst := range p.Bursts {
+		if !slices.ContainsFunc(p.Kinds, func(kind RequestKind) bool { return kind.Name == burst.Kind }) {
+			return trace.Wrap(ErrPattern, "bursts: no kind %q", burst.Kind)
+		}
+	}
+	if others := p.workspaceShares(0); others[len(others)-1] < 0 {
+		return trace.Wrap(ErrPattern, "hot: the shares add up to more than 1")
+	}
 	return nil
 }
 
--- a/internal/experimenter/experimenter_test.go
+++ b/internal/experimenter/experimenter_test.go
@@ -35,6 +35,7 @@
 func TestInvalidPatternsNameFieldAndLine(t *testing.T) {
 	text, err := os.ReadFile(examples + "small.yaml")
 	assert.NilError(t, err)
+	const hot = "  - {workspace: a, share: 0.6, at: 1s, for: 1s, factor: 4}\n"
 	cases := []struct {
 		name, old, replacement string
 		kind                   error
@@ -44,6 +45,9 @@
 		{"no time", "duration: 20s", "duration: 0s", loader.ErrInvalid, []string{"duration", "more than"}},
 		{"mean above the most", "{mean: 630, spread: 1, most: 3300}", "{mean: 630, spread: 1, most: 33}", loader.ErrInvalid, []string{"most"}},
 		{"same name twice", "name: question", "name: draft", loader.ErrInvalid, []string{"kinds"}},
+		{"unknown kind of a burst", "kinds:\n", "bursts:\n  - {kind: chat, at: 1s, for: 1s, factor: 2}\nkinds:\n", ErrPattern, []string{"bursts", "chat"}},
+		{"too many hot workspaces", "kinds:\n", "hot:\n" + hot + "  - {workspace: b, share: 0.6, at: 1s, for: 1s, factor: 4}\nkinds:\n", ErrPattern, []string{"hot"}},
+		{"slowdowns that speed up", "kinds:\n", "slowdowns: {share: 0.1, factor: 0.9, period: 1s}\nkinds:\n", loader.ErrInvalid, []string{"factor"}},
 		{"unknown home", "    hint: 0.5\n", "    hint: 0.5\n    homes: [west]\n", ErrPattern, []string{"homes", "west"}},
 	}
 	for _, c := range cases {
--- a/internal/experimenter/generator.go
+++ b/internal/experimenter/generator.go
@@ -12,13 +12,17 @@
 )
 
 // arrival is one request of the generated load. at is the time since the start;
-// regionIndex and kindIndex are indices into the pattern.
+// regionIndex and kindIndex are indices into the
+// pattern.
 type arrival struct {
-	at           time.Duration
-	regionIndex  int
-	kindIndex    int
-	parts        []emulator.PromptPart
-	outputTokens int64
+	at          time.Duration
+	regionIndex int
+	kindIndex   int
+	// workspaceIndex is the index of the hot workspace that sends the request, or their
+	// number for all other workspaces.
+	workspaceIndex int
+	parts          []emulator.PromptPart
+	outputTokens   int64
 	// maxOutputTokens is the caller's limit on the response, and expectedOutputTokens
 	// the caller's estimate.
 	maxOutputTokens      int64
@@ -86,17 +90,22 @@
 	r := g.pattern.Regions[region]
 	for at := time.Duration(0); at < g.pattern.Duration; at += rateInterval {
 		weights, growth := g.pattern.shares(at)
-		mean := r.Rate * r.loadFactor(at) * growth * rateInterval.Seconds()
+		workspaces := g.pattern.workspaceShares(at)
+		mean := r.Rate * r.loadFactor(at) * growth * sum(workspaces) * rateInterval.Seconds()
 		for used := g.random.ExpFloat64(); used < mean; used += g.random.ExpFloat64() {
 			when := at + time.Duration(used/mean*float64(rateInterval))
-			all = append(all, g.newArrival(when, region, weights))
+			a := g.newArrival(when, region, weights)
+			if len(workspaces) > 1 {
+				a.workspaceIndex = g.sampleIndex(workspaces)
+			}
+			all = append(all, a)
 		}
 	}
 	return all
 }
 
 func (g *generator) newArrival(at time.Duration, region int, weights []float64) arrival {
-	k := g.sampleKind(weights)
+	k := g.sampleIndex(weights)
 	kind := g.pattern.Kinds[k]
 	a := arrival{at: at, regionIndex: region, kindIndex: k, parts: g.sampleSharedParts(k)}
 	own := emulator.PromptPart{ID: g.random.Uint64(), Tokens: int64(kind.OwnTokens.sample(g.random))}
@@ -108,21 +117,25 @@
 	return a
 }
 
-// sampleKind returns the index of a kind that is drawn by the weights.
-func (g *generator) sampleKind(weights []float64) int {
-	total := 0.0
-	for _, weight := range weights {
-		total += weight
-	}
-	target := g.random.Float64() * total
-	for k, weight := range weights {
+// sampleIndex returns a random index, drawn in proportion to the weights.
+func (g *generator) sampleIndex(weights []float64) int {
+	target := g.random.Float64() * sum(weights)
+	for i, weight := range weights {
 		if target -= weight; target < 0 {
-			return k
+			return i
 		}
 	}
 	return len(weights) - 1
 }
 
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, value := range values {
+		total += value
+	}
+	return total
+}
+
 // sampleSharedParts chooses a part of the last level at random; its index
 // determines the parts of the levels before it.
 func (g *generator) sampleSharedParts(k int) []emulator.PromptPart {
--- a/internal/experimenter/pattern.go
+++ b/internal/experimenter/pattern.go
@@ -18,6 +18,10 @@
 	Outages []Outage `yaml:"outages" validate:"dive"`
 	// Bursts multiply the rate of one kind for a time.
 	Bursts []Burst `yaml:"bursts" validate:"dive"`
+	// Slowdowns, unless nil, slow engines down for short times.
+	Slowdowns *Slowdowns `yaml:"slowdowns" validate:"omitempty"`
+	// HotWorkspaces send several times their usual load for a time.
+	HotWorkspaces []HotWorkspace `yaml:"hot" validate:"unique=Name,dive"`
 }
 
 // Network holds one-way delays: within a failure domain, between the domains of a
@@ -57,6 +61,32 @@
 	Factor   float64       `yaml:"factor" validate:"gt=0"`
 }
 
+// HotWorkspace is a workspace that sends Share of all requests, and Factor times as
+// many as that from At for Duration.
+type HotWorkspace struct {
+	Name     string        `yaml:"workspace" validate:"required"`
+	Share    float64       `yaml:"share" validate:"gt=0,lt=1"`
+	At       time.Duration `yaml:"at" validate:"gte=0"`
+	Duration time.Duration `yaml:"for" validate:"gt=0"`
+	Factor   float64       `yaml:"factor" validate:"gt=0"`
+}
+
+// workspaceShares returns the rates of the hot workspaces at a time since the start
+// and, as the last one, that of all others together. They are relative to the usual
+// rate of all workspaces.
+func (p Pattern) workspaceShares(at time.Duration) []float64 {
+	var rates []float64
+	others := 1.0
+	for _, hot := range p.HotWorkspaces {
+		rate := hot.Share
+		if hot.At <= at && at < hot.At+hot.Duration {
+			rate *= hot.Factor
+		}
+		rates, others = append(rates, rate), others-hot.Share
+	}
+	return append(rates, others)
+}
+
 // shares returns the weights of the kinds at a time since the start, which the bursts
 // multiply, and the sum of the weights relative to that without bursts.
 func (p Pattern) shares(at time.Duration) (weights []float64, growth float64) {
--- a/internal/experimenter/simulation.go
+++ b/internal/experimenter/simulation.go
@@ -7,7 +7,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +27,7 @@
 // simulation is one run of a pattern under one policy. It is used by one goroutine.
 type simulation struct {
 	pattern         Pattern
+	seed            uint64
 	random          *rand.Rand
 	now             time.Time
 	events          eventQueue
@@ -98,7 +101,7 @@
 // newSimulation returns a simulation of a pattern before its first event.
 func newSimulation(pattern Pattern, policy string, seed uint64) (*simulation, error) {
 	s := &simulation{
-		pattern: pattern, now: epoch, enginesByName: map[string]*engine{}, runningAttempts: map[uint64]*attempt{},
+		pattern: pattern, seed: seed, now: epoch, enginesByName: map[string]*engine{}, runningAttempts: map[uint64]*attempt{},
 		random: rand.New(rand.NewPCG(seed, xxhash.Sum64String("world"))),
 		service: &definer.Service{Name: "engines", Engine: &definer.Engine{
 			Slots: pattern.Engine.Slots, Memory: pattern.Engine.Memory,
@@ -178,6 +181,9 @@
 			s.schedule(time.Duration(s.random.Int64N(int64(beaconInterval))), func() { s.sendBeacon(entry, 0) })
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(s.enginesByName)) {
+		s.updateSlowdown(s.enginesByName[name])
+	}
 	for _, outage := range s.pattern.Outages {
 		s.schedule(outage.At, func() { s.startOutage(outage) })
 	}
@@ -230,9 +236,9 @@
 			for _, e := range lost {
 				e.down = false
 				e.server.StartedAtMillis++
-				prefilledBefore := e.PrefilledBefore
+				prefilledBefore, slowdown := e.PrefilledBefore, e.Slowdown
 				e.Engine = emulator.New(s.pattern.Engine)
-				e.PrefilledBefore = prefilledBefore
+				e.PrefilledBefore, e.Slowdown = prefilledBefore, slowdown
 			}
 			s.updateServers(r)
 		})
--- a/internal/experimenter/table.go
+++ b/internal/experimenter/table.go
@@ -16,7 +16,7 @@
 		printf("policy %s, seed %d: worth %.3f, two worst windows %.3f, read again %.1f%%, preempted %d\n",
 			result.Policy, result.Seed, result.Worth, result.worstWindowsWorth(), result.RepeatedShare*100, result.Preemptions)
 		printf("\tasked\tin time\tlate\trefused\tfailed\tworth\tfirst p50\tp99\tgap p99\t\n")
-		for _, group := range slices.Concat(result.Kinds, result.Sizes, result.Regions, result.Windows) {
+		for _, group := range slices.Concat(result.Kinds, result.Sizes, result.Workspaces, result.Regions, result.Windows) {
 			printf("%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%s\t%s\t%s\t\n", group.Name, group.Requests, group.InTime, group.Late, group.Refused,
 				group.Failed, group.Worth, roundToMillisecond(group.FirstEventMedian), roundToMillisecond(group.FirstEventP99), roundToMillisecond(group.GapP99))
 		}
--- a/internal/experimenter/tally.go
+++ b/internal/experimenter/tally.go
@@ -19,8 +19,10 @@
 	Windows []GroupResult `json:"windows"`
 	// Sizes has two groups for each kind: the largest tenth of its requests, and the
 	// next fifth.
-	Sizes   []GroupResult `json:"sizes"`
-	Engines []Utilization `json:"engines"`
+	Sizes []GroupResult `json:"sizes"`
+	// Workspaces has a group for each hot workspace and one for all others.
+	Workspaces []GroupResult `json:"workspaces,omitempty"`
+	Engines    []Utilization `json:"engines"`
 	// RepeatedShare is the fraction of prefilled prompt tokens that some engine had
 	// prefilled before.
 	RepeatedShare float64 `json:"repeated"`
@@ -120,6 +122,9 @@
 	regions []*group
 	windows []*group
 	sizes   [][2]*group
+	// workspaces holds the groups of the hot workspaces and, last, of all others. It is
+	// empty without hot workspaces.
+	workspaces []*group
 	// sizeBounds holds, for each kind, the lowest weights of the two groups in sizes.
 	sizeBounds [][2]float64
 }
@@ -160,6 +165,12 @@
 	for at := time.Duration(0); at < pattern.Duration; at += windowLength {
 		t.windows = append(t.windows, newGroup(at.String()))
 	}
+	if len(pattern.HotWorkspaces) > 0 {
+		for _, hot := range pattern.HotWorkspaces {
+			t.workspaces = append(t.workspaces, newGroup("workspace "+hot.Name))
+		}
+		t.workspaces = append(t.workspaces, newGroup("other workspaces"))
+	}
 	return t
 }
 
@@ -168,6 +179,9 @@
 	for _, g := range []*group{t.all, t.kinds[c.kindIndex], t.regions[c.regionIndex], t.windows[window]} {
 		g.record(c)
 	}
+	if len(t.workspaces) > 0 {
+		t.workspaces[c.workspaceIndex].record(c)
+	}
 	switch bounds := t.sizeBounds[c.kindIndex]; {
 	case c.weight >= bounds[0]:
 		t.sizes[c.kindIndex][0].record(c)
@@ -188,6 +202,7 @@
 	result := Result{
 		Policy: policy, Seed: seed, Worth: t.all.result().Worth,
 		Kinds: append(groupResults(t.kinds), t.all.result()), Regions: groupResults(t.regions), Windows: groupResults(t.windows),
+		Workspaces: groupResults(t.workspaces),
 	}
 	for _, sizes := range t.sizes {
 		result.Sizes = append(result.Sizes, groupResults(sizes[:])...)
