experimenter: a bound beside the measured worth

Cause: a result did not tell how much of the load the engines could have served, so that nobody knew what a better policy could gain. Change: a linear relaxation with known arrivals: engine time by region and window of 2 s, counted with as many steps as prefill chunks and as full batches, and the slots that unfinished answers hold at the end of a window. Each shared part is prefilled once, work may move to regions that the kind allows, and answers in time or late have until their objective and deadline. The bound is the Lagrangian dual, which is valid at any prices; a subgradient search lowers it. Every kind, region, window and all requests get a bound, each as if the fleet were its own, and the mix: their part of an approximately best schedule for all, which is no bound by group. Both are columns of the table and fields of the JSON form.

--- a/internal/experimenter/experimenter.go
+++ b/internal/experimenter/experimenter.go
@@ -64,13 +64,18 @@
 	}
 	results := make([]Result, len(policies)*len(seeds))
 	failures := make([]error, len(results))
-	slots := make(chan struct{}, max(plays, 1))
+	var boundsBySeed []func() bounds
+	for _, seed := range seeds {
+		boundsBySeed = append(boundsBySeed, sync.OnceValue(func() bounds { return newBounds(pattern, seed) }))
+	}
+	running := make(chan struct{}, max(plays, 1))
 	var wait sync.WaitGroup
 	for i := range results {
 		wait.Go(func() {
-			slots <- struct{}{}
-			defer func() { <-slots }()
+			running <- struct{}{}
+			defer func() { <-running }()
 			results[i], failures[i] = simulate(pattern, policies[i/len(seeds)], seeds[i%len(seeds)])
+			boundsBySeed[i%len(seeds)]().addTo(&results[i])
 		})
 	}
 	wait.Wait()
--- a/internal/experimenter/pattern.go
+++ b/internal/experimenter/pattern.go
@@ -1,6 +1,7 @@
 package experimenter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/boragehead/boragehead/internal/emulator"
@@ -149,6 +150,11 @@
 	Attempts int `yaml:"attempts" validate:"gt=0"`
 }
 
+// mayRunIn reports whether a region may serve requests of the kind.
+func (k RequestKind) mayRunIn(region string) bool {
+	return len(k.HomeRegions) == 0 || slices.Contains(k.HomeRegions, region)
+}
+
 // SharedLevel is a set of prompt parts, one of which each request uses.
 type SharedLevel struct {
 	Tokens Distribution `yaml:"tokens"`
--- a/internal/experimenter/simulation.go
+++ b/internal/experimenter/simulation.go
@@ -128,7 +128,7 @@
 func (s *simulation) addEngines(r *region, prefilledBefore map[uint64]bool) {
 	for i := range r.Engines {
 		e := &engine{Engine: emulator.New(s.pattern.Engine), server: registrar.Server{
-			Name: fmt.Sprintf("engine-%s-%d", r.Name, i), Service: s.service.Name, FailureDomain: domainOf(r.Region, i),
+			Name: engineName(r.Region, i), Service: s.service.Name, FailureDomain: domainOf(r.Region, i),
 			Slots: s.pattern.Engine.Slots, StartedAtMillis: 1, Counter: 1,
 		}}
 		e.PrefilledBefore = prefilledBefore
--- a/internal/experimenter/slowdown.go
+++ b/internal/experimenter/slowdown.go
@@ -45,21 +45,23 @@
 
 // engineTime returns how much time at normal speed an engine has from a time since
 // the start until another. A step keeps the speed at which it began; therefore
-// longestStep is added for each change to a slower speed.
+// longestStep is added for each change to a slower speed whose last faster step may
+// reach into this time.
 func (s *Slowdowns) engineTime(seed uint64, engine string, from, until, longestStep time.Duration) float64 {
 	if s == nil {
 		return (until - from).Seconds()
 	}
+	at := max(from-time.Duration(s.Factor*float64(longestStep)), 0)
 	total, before := 0.0, math.Inf(1)
-	if from > 0 {
-		before, _ = s.slowdownAt(seed, engine, from-1)
+	if at > 0 {
+		before, _ = s.slowdownAt(seed, engine, at-1)
 	}
-	for at := from; at < until; {
+	for at < until {
 		factor, next := s.slowdownAt(seed, engine, at)
 		if factor > before {
 			total += longestStep.Seconds()
 		}
-		total += (min(next, until) - at).Seconds() / factor
+		total += max(min(next, until)-max(at, from), 0).Seconds() / factor
 		at, before = next, factor
 	}
 	return total
--- a/internal/experimenter/tally.go
+++ b/internal/experimenter/tally.go
@@ -33,13 +33,19 @@
 // GroupResult is the outcome of a group of requests. Requests counts all of them;
 // Worth is as in Result.
 type GroupResult struct {
-	Name             string        `json:"name"`
-	Requests         int           `json:"asked"`
-	InTime           int           `json:"in-time"`
-	Late             int           `json:"late"`
-	Refused          int           `json:"refused"`
-	Failed           int           `json:"failed"`
-	Worth            float64       `json:"worth"`
+	Name     string  `json:"name"`
+	Requests int     `json:"asked"`
+	InTime   int     `json:"in-time"`
+	Late     int     `json:"late"`
+	Refused  int     `json:"refused"`
+	Failed   int     `json:"failed"`
+	Worth    float64 `json:"worth"`
+	// Bound is at least the worth that any policy reaches for the group, also at the
+	// expense of all other requests. Mix is the group's worth in an approximation of the
+	// schedule that is worth most for all requests together; it is not a bound for the
+	// group. Both are 0 for sizes and workspaces.
+	Bound            float64       `json:"bound,omitempty"`
+	Mix              float64       `json:"mix,omitempty"`
 	FirstEventMedian time.Duration `json:"median"`
 	FirstEventP99    time.Duration `json:"p99"`
 	// GapP99 is the 99th percentile of the longest gap between events in a response.
@@ -117,6 +123,7 @@
 
 // tally accumulates the results of a simulation.
 type tally struct {
+	pattern Pattern
 	all     *group
 	kinds   []*group
 	regions []*group
@@ -155,7 +162,7 @@
 }
 
 func newTally(pattern Pattern) *tally {
-	t := &tally{all: newGroup("all")}
+	t := &tally{pattern: pattern, all: newGroup("all")}
 	for _, kind := range pattern.Kinds {
 		t.kinds = append(t.kinds, newGroup(kind.Name))
 	}
@@ -175,7 +182,7 @@
 }
 
 func (t *tally) record(c *call) {
-	window := min(int(c.startedAt.Sub(epoch)/windowLength), len(t.windows)-1)
+	window := t.pattern.windowOf(c.startedAt.Sub(epoch))
 	for _, g := range []*group{t.all, t.kinds[c.kindIndex], t.regions[c.regionIndex], t.windows[window]} {
 		g.record(c)
 	}
