--- a/internal/experimenter/tally.go
+++ b/internal/experimenter/tally.go
@@ -19,8 +19,10 @@
 	Windows []GroupResult `json:"windows"`
 	// Sizes has two groups for each kind: the largest tenth of its requests, and the
 	// next fifth.
-	Sizes   []GroupResult `json:"sizes"`
-	Engines []Utilization `json:"engines"`
+	Sizes []GroupResult `json:"sizes"`
+	// Workspaces has a group for each hot workspace and one for all others.
+	Workspaces []GroupResult `json:"workspaces,omitempty"`
+	Engines    []Utilization `json:"engines"`
 	// RepeatedShare is the fraction of prefilled prompt tokens that some engine had
 	// prefilled before.
 	RepeatedShare float64 `json:"repeated"`
@@ -31,13 +33,19 @@
 // GroupResult is the outcome of a group of requests. Requests counts all of them;
 // Worth is as in Result.
 type GroupResult struct {
-	Name             string        `json:"name"`
-	Requests         int           `json:"asked"`
-	InTime           int           `json:"in-time"`
-	Late             int           `json:"late"`
-	Refused          int           `json:"refused"`
-	Failed           int           `json:"failed"`
-	Worth            float64       `json:"worth"`
+	Name     string  `json:"name"`
+	Requests int     `json:"asked"`
+	InTime   int     `json:"in-time"`
+	Late     int     `json:"late"`
+	Refused  int     `json:"refused"`
+	Failed   int     `json:"failed"`
+	Worth    float64 `json:"worth"`
+	// Bound is at least the worth that any policy reaches for the group, also at the
+	// expense of all other requests. Mix is the group's worth in an approximation of the
+	// schedule that is worth most for all requests together; it is not a bound for the
+	// group. Both are 0 for sizes and workspaces.
+	Bound            float64       `json:"bound,omitempty"`
+	Mix              float64       `json:"mix,omitempty"`
 	FirstEventMedian time.Duration `json:"median"`
 	FirstEventP99    time.Duration `json:"p99"`
 	// GapP99 is the 99th percentile of the longest gap between events in a response.
@@ -115,11 +123,15 @@
 
 // tally accumulates the results of a simulation.
 type tally struct {
+	pattern Pattern
 	all     *group
 	kinds   []*group
 	regions []*group
 	windows []*group
 	sizes   [][2]*group
+	// workspaces holds the groups of the hot workspaces and, last, of all others. It is
+	// empty without hot workspaces.
+	workspaces []*group
 	// sizeBounds holds, for each kind, the lowest weights of the two groups in sizes.
 	sizeBounds [][2]float64
 }
@@ -150,7 +162,7 @@
 }
 
 func newTally(pattern Pattern) *tally {
-	t := &tally{all: newGroup("all")}
+	t := &tally{pattern: pattern, all: newGroup("all")}
 	for _, kind := range pattern.Kinds {
 		t.kinds = append(t.kinds, newGroup(kind.Name))
 	}
@@ -160,14 +172,23 @@
 	for at := time.Duration(0); at < pattern.Duration; at += windowLength {
 		t.windows = append(t.windows, newGroup(at.String()))
 	}
+	if len(pattern.HotWorkspaces) > 0 {
+		for _, hot := range pattern.HotWorkspaces {
+			t.workspaces = append(t.workspaces, newGroup("workspace "+hot.Name))
+		}
+		t.workspaces = append(t.workspaces, newGroup("other workspaces"))
+	}
 	return t
 }
 
 func (t *tally) record(c *call) {
-	window := min(int(c.startedAt.Sub(epoch)/windowLength), len(t.windows)-1)
+	window := t.pattern.windowOf(c.startedAt.Sub(epoch))
 	for _, g := range []*group{t.all, t.kinds[c.kindIndex], t.regions[c.regionIndex], t.windows[window]} {
 		g.record(c)
 	}
+	if len(t.workspaces) > 0 {
+		t.workspaces[c.workspaceIndex].record(c)
+	}
 	switch bounds := t.sizeBounds[c.kindIndex]; {
 	case c.weight >= bounds[0]:
 		t.sizes[c.kindIndex][0].record(c)
@@ -188,6 +209,7 @@
 	result := Result{
 		Policy: policy, Seed: seed, Worth: t.all.result().Worth,
 		Kinds: append(groupResults(t.kinds), t.all.result()), Regions: groupResults(t.regions), Windows: groupResults(t.windows),
+		Workspaces: groupResults(t.workspaces),
 	}
 	for _, sizes := range t.sizes {
 		result.Sizes = append(result.Sizes, groupResults(sizes[:])...)
