--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -58,9 +58,9 @@
 }
 
 func (p *Placer) newComparisonBasis(now time.Time, request Request) comparisonBasis {
-	basis := comparisonBasis{
-		reserved:  p.reservedServer(now, request.Service),
-		waitFloor: time.Duration(float64(request.Objective.Sub(now)) * localWaitShare),
+	basis := comparisonBasis{waitFloor: time.Duration(float64(request.Objective.Sub(now)) * localWaitShare)}
+	if !p.sharesOverflow(now, request) { // headroom on all servers keeps none apart
+		basis.reserved = p.reservedServer(now, request.Service)
 	}
 	basis.cacheHolder, basis.heldTokens = p.longestCached(now, request)
 	basis.prefillTarget, basis.sharedTokens = p.prefillTarget(now, request, basis.heldTokens)
