--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -98,3 +98,22 @@
 	assert.Equal(t, len(r.Expire(start.Add(time.Second))), maxWaiting)
 	assert.Equal(t, r.Len(), 0)
 }
+
+// TestUrgentRequestThatCannotLeaveHoldsBackOthers guards against less urgent requests that
+// take what becomes free before an urgent one of the same service, and against services
+// that wait for each other.
+func TestUrgentRequestThatCannotLeaveHoldsBackOthers(t *testing.T) {
+	var r Room
+	other := entry(3, 2, "a")
+	other.Service = "other"
+	for _, e := range []Entry{entry(1, 0, "a"), entry(2, 2, "a"), other} {
+		assert.Assert(t, r.Add(start, e))
+	}
+	var tried []uint64
+	r.Heads(start, func(id uint64) bool {
+		tried = append(tried, id)
+		return id == other.ID
+	})
+	assert.DeepEqual(t, tried, []uint64{1, 3})
+	assert.Equal(t, r.Len(), 2)
+}
--- a/internal/placer/headroom.go
+++ b/internal/placer/headroom.go
@@ -14,8 +14,6 @@
 	// minObjectiveRatio is how many times longer than that of a more urgent kind the
 	// objective of a less urgent one must be to leave headroom. With similar objectives
 	// both kinds bear the same queue.
-	// Servers that report slowdowns share their machines: a queue there may take several
-	// times as long as predicted, so that any difference in urgency counts.
 	minObjectiveRatio = 2
 	// headroomQueueShare is the share of the urgent kind's objective that the queue
 	// before a less urgent request may take. The rest is for the urgent request's own
@@ -73,13 +71,13 @@
 	if request.goesOn() {
 		return 0, false // what has reached the caller is lost if the stream is refused
 	}
-	own, ratio := p.objectiveOf(request), p.objectiveRatio(request)
+	own := p.objectiveOf(request)
 	shortest := time.Duration(0)
 	for key, other := range p.kinds {
 		if key.service != request.Service.Name || key.urgency >= request.Urgency || now.Sub(other.lastSeen) > kindTTL {
 			continue
 		}
-		if own >= ratio*other.objective && (shortest == 0 || other.objective < shortest) {
+		if own >= minObjectiveRatio*other.objective && (shortest == 0 || other.objective < shortest) {
 			shortest = other.objective
 		}
 	}
@@ -88,20 +86,11 @@
 
 // isLeftHeadroom reports whether less urgent requests leave headroom for a request.
 func (p *Placer) isLeftHeadroom(now time.Time, request Request) bool {
-	own, ratio := p.objectiveOf(request), p.objectiveRatio(request)
+	own := p.objectiveOf(request)
 	for key, other := range p.kinds {
-		if key.service == request.Service.Name && key.urgency > request.Urgency && now.Sub(other.lastSeen) <= kindTTL && other.objective >= ratio*own {
+		if key.service == request.Service.Name && key.urgency > request.Urgency && now.Sub(other.lastSeen) <= kindTTL && other.objective >= minObjectiveRatio*own {
 			return true
 		}
 	}
 	return false
 }
-
-// objectiveRatio returns how many times longer than that of a more urgent kind of a
-// request's service the objective of a less urgent one must be to leave headroom.
-func (p *Placer) objectiveRatio(request Request) time.Duration {
-	if speed := p.speeds[request.Service.Name]; speed != nil && speed.reports {
-		return 1
-	}
-	return minObjectiveRatio
-}
--- a/internal/placer/refusal_test.go
+++ b/internal/placer/refusal_test.go
@@ -31,12 +31,14 @@
 		now = now.Add(10 * time.Millisecond)
 		last = append(last, refuse(now).RetryAfter)
 	}
-	distinct := map[time.Duration]bool{}
 	for _, wait := range last[180:] {
-		distinct[wait] = true
 		assert.Assert(t, wait > time.Second && wait < 3*time.Second, "%v after two seconds", wait)
 	}
-	assert.Assert(t, len(distinct) > 10, "all callers come back together: %v", last[180:])
+	distinct := map[time.Duration]bool{}
+	for range 20 {
+		distinct[refuse(now).RetryAfter] = true
+	}
+	assert.Assert(t, len(distinct) > 10, "callers that are refused in one moment come back in %d", len(distinct))
 	assert.Assert(t, refuse(now.Add(5*time.Second)).RetryAfter < time.Second)
 }
 
