One budget for the heads and bodies of requests, and limits on connections

Cause: a chunked body was reserved only after it had been read, net/http holds up to 64 KiB of head for each connection, in up to twenty times as much memory, and nothing limited the connections. 1,500 unfinished heads took 1.4 GiB.

Change: a budget per process for requests, a quarter of memory-mb. Bodies reserve as they arrive (reserver.ReadRequest), also relayed ones, documents of operators and announcements; heads reserve as the listener's connections read them, with 128 bytes a line. Reservations beyond 64 KiB leave a quarter of the budget. Where memory is short, requests that have stalled for 500 ms are ended, those first that hold the most; a body without memory is refused with 503 memory. Each port limits its connections by a share of max-files, a new setting: beyond it, the connection is closed that has been without a request for longest. Peers are not closed once they have said who they are.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -4,16 +4,17 @@
 
 import (
 	"context"
-	"crypto/rand"
+	crand "crypto/rand"
 	"encoding/hex"
 	"errors"
-	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/exchanger"
+	"github.com/boragehead/boragehead/internal/reserver"
 	"github.com/boragehead/boragehead/internal/responder"
 )
 
@@ -41,12 +42,13 @@
 type Acceptor struct {
 	handler  exchanger.Handler
 	observer Observer
+	memory   *reserver.Budget
 }
 
 // New returns an acceptor that calls the handler, usually a filter chain, for each
-// request.
-func New(handler exchanger.Handler, observer Observer) *Acceptor {
-	return &Acceptor{handler: handler, observer: observer}
+// request. The memory is for the bodies of all requests in progress.
+func New(handler exchanger.Handler, observer Observer, memory *reserver.Budget) *Acceptor {
+	return &Acceptor{handler: handler, observer: observer, memory: memory}
 }
 
 // ServeHTTP implements http.Handler.
@@ -60,6 +62,8 @@
 func (a *Acceptor) Serve(x *exchanger.Exchange) {
 	ctx, cancel := context.WithCancel(x.Request.Context())
 	defer cancel()
+	x.BodyMemory.Budget = a.memory
+	defer x.BodyMemory.Shrink(0)
 	refusal := a.runChain(ctx, x)
 	a.observer.Observe(x, refusal)
 	logRequest(x, refusal)
@@ -98,7 +102,7 @@
 // newRequestID returns 96 random bits in hexadecimal.
 func newRequestID() string {
 	id := make([]byte, 12)
-	_, _ = rand.Read(id) // never fails: see the crypto/rand package
+	_, _ = crand.Read(id) // never fails: see the crypto/rand package
 	return hex.EncodeToString(id)
 }
 
@@ -110,11 +114,15 @@
 	}
 	controller := http.NewResponseController(x.Writer)
 	_ = controller.SetReadDeadline(time.Now().Add(BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(x.Writer, x.Request.Body, maxBytes))
+	x.BodyMemory.Drop = func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) }
+	body, err := x.BodyMemory.ReadRequest(http.MaxBytesReader(x.Writer, x.Request.Body, maxBytes), x.Request.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return bodyTooLarge()
+	case errors.Is(err, reserver.ErrRequestsExhausted):
+		return exchanger.Refuse(http.StatusServiceUnavailable, exchanger.CodeMemory, "the bodies of other requests take all memory").
+			WithRetryAfter(time.Second + rand.N(time.Second))
 	case err != nil:
 		return exchanger.Refuse(http.StatusBadRequest, exchanger.CodeBodyIncomplete, "the body ended early or came too slowly")
 	}
--- a/internal/acceptor/unfinished_test.go
+++ b/internal/acceptor/unfinished_test.go
@@ -23,7 +23,7 @@
 func TestUnfinishedBodyWithholdsRefusal(t *testing.T) {
 	server := httptest.NewServer(New(func(context.Context, *exchanger.Exchange) *exchanger.Refusal {
 		return exchanger.Refuse(http.StatusNotFound, exchanger.CodeRouteUnknown, "no route has this path")
-	}, noObserver{}))
+	}, noObserver{}, nil))
 	t.Cleanup(server.Close)
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	assert.NilError(t, err)
--- a/internal/conductor/connections.go
+++ b/internal/conductor/connections.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"container/list"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -20,6 +21,16 @@
 	closed  bool
 	// unframed means that nothing but the end of the connection ends the response.
 	unframed bool
+	// serving means that a request is being served.
+	serving bool
+
+	// limits is nil on a port without limits. It does not change.
+	limits *PortLimits
+	head   headMemory
+	// place and left are guarded by the lock of the limits: the connection's place among those
+	// that wait, or nil, and whether it counts no longer.
+	place *list.Element
+	left  bool
 }
 
 func newPortConn(conn *net.TCPConn) *portConn {
@@ -33,11 +44,12 @@
 		return n, err
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
+	closed, serving := c.closed, c.serving
+	c.reading = c.reading || !closed
+	c.mu.Unlock()
+	if closed || !serving && !c.chargeHead(buffer[:n]) {
 		return 0, net.ErrClosed
 	}
-	c.reading = true
 	return n, err
 }
 
@@ -45,16 +57,57 @@
 // connection is closed: the request was in a buffer then.
 func (c *portConn) beginRequest() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reading = true
-	return !c.closed
+	c.reading, c.serving = true, true
+	closed := c.closed
+	c.mu.Unlock()
+	if closed || !c.head.keep() {
+		return false
+	}
+	if c.limits != nil {
+		c.limits.setServing(c, true)
+	}
+	return true
+}
+
+// Established records that the connection carries a protocol of its own whose sender has been
+// identified, so that it counts as one on which a request is being served until its end.
+func (c *portConn) Established() {
+	c.beginRequest()
+	c.head.release(false)
 }
 
 // endRequest records that the response to a request has been written.
 func (c *portConn) endRequest() {
+	c.mu.Lock()
+	c.reading, c.unframed, c.serving = false, false, false
+	c.mu.Unlock()
+	c.head.release(false)
+	if c.limits != nil {
+		c.limits.setServing(c, false)
+	}
+}
+
+// Close implements net.Conn.
+func (c *portConn) Close() error {
+	err := c.TCPConn.Close()
+	c.head.release(true)
+	if c.limits != nil {
+		c.limits.forget(c)
+	}
+	return err
+}
+
+// closeIfUnserved closes the connection unless a request is being served. It reports whether
+// the connection is closed.
+func (c *portConn) closeIfUnserved() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading, c.unframed = false, false
+	if c.serving {
+		return false
+	}
+	c.closed = true
+	_ = c.Close() // the caller may have closed it
+	return true
 }
 
 // setUnframed records that nothing but the end of the connection ends the response.
--- a/internal/conductor/listener.go
+++ b/internal/conductor/listener.go
@@ -34,6 +34,8 @@
 // no caller that has already connected has its connection reset.
 type Listener struct {
 	*net.TCPListener
+	// Limits, unless nil, limit the connections. They must be set before the first Accept.
+	Limits *PortLimits
 
 	draining atomic.Bool
 	// keptOut means that new connections were to be kept out; keepOutErr is why they are not.
@@ -87,7 +89,12 @@
 		}
 		conn, err := l.AcceptTCP()
 		if err == nil {
-			return newPortConn(conn), nil
+			accepted := newPortConn(conn)
+			if l.Limits != nil && !l.Limits.admit(accepted) {
+				_ = conn.Close() // the caller may have closed it
+				continue
+			}
+			return accepted, nil
 		}
 		switch {
 		case errors.Is(err, net.ErrClosed):
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/boragehead/boragehead/internal/reserver"
 	"github.com/boragehead/boragehead/internal/tabler"
 )
 
@@ -35,7 +36,9 @@
 	Pools    []string
 	Deadline time.Time
 	Body     []byte
-	Work     Work
+	// BodyMemory is what the body holds of the memory for requests.
+	BodyMemory reserver.Reservation
+	Work       Work
 	// Relayed is true if another instance relayed the request here. It is then
 	// served here or refused.
 	Relayed bool
--- a/internal/exchanger/refusal.go
+++ b/internal/exchanger/refusal.go
@@ -47,6 +47,7 @@
 // The codes. docs/ERRORS.md explains how a caller should react to each.
 const (
 	CodeBodyTooLarge          Code = "body-too-large"
+	CodeMemory                Code = "memory"
 	CodeHeaderTooLarge        Code = "header-too-large"
 	CodeBodyIncomplete        Code = "body-incomplete"
 	CodeBadJSON               Code = "bad-json"
--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -1,15 +1,14 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
+	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/boragehead/boragehead/internal/definer"
+	"github.com/boragehead/boragehead/internal/reserver"
 )
 
 // defaultTimeout bounds calls whose caller sets no deadline.
@@ -63,77 +62,50 @@
 	return nil
 }
 
-// readBody reads a call's body into memory. A limit of 0 or less means the
-// default. It returns the number of bytes reserved in bodyMemory, also with a
-// refusal; the caller must release them.
-func (f *Forwarder) readBody(w http.ResponseWriter, call *Call, limit int64) (int64, *Refusal) {
+// readBody reads a call's body into memory, which it reserves as the body arrives.
+func (f *Forwarder) readBody(w http.ResponseWriter, call *Call, memory *reserver.Reservation) *Refusal {
+	limit := call.maxBody
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
 	r := call.Request
 	if refusal := checkLength(call, limit); refusal != nil {
-		return 0, refusal
-	}
-	expected := max(r.ContentLength, 0)
-	if !f.bodyMemory.tryReserve(expected) {
-		return 0, &Refusal{Status: http.StatusServiceUnavailable, Reason: "memory", RetryAfter: time.Second}
+		return refusal
 	}
 	call.open.enter(phaseBody)
 	if r.Body == http.NoBody {
 		// net/http waits for the next request already: a read deadline would end its context.
 		call.Body = []byte{}
-		return 0, nil
+		return nil
 	}
 	control := http.NewResponseController(w)
+	endRead := func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }
 	_ = control.SetReadDeadline(call.Deadline) // without support for deadlines, reads are not bounded
-	defer context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })()
-	var buffer bytes.Buffer
-	buffer.Grow(int(expected))
-	_, err := io.Copy(&buffer, http.MaxBytesReader(w, r.Body, limit))
+	defer context.AfterFunc(r.Context(), endRead)()
+	memory.Drop = endRead // not after ReadRequest: the deadline would end the next request
+	body, err := memory.ReadRequest(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
-	size := int64(buffer.Len())
-	f.bodyMemory.reserve(size - expected)
 	var exceeded *http.MaxBytesError
 	switch {
 	case errors.As(err, &exceeded):
-		return size, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body-too-large"}
+		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body-too-large"}
 	case err != nil && isCutByStop(r.Context()):
-		_ = control.SetReadDeadline(time.Unix(1, 0)) // net/http does not read on before the refusal is sent
-		return size, cutByStopRefusal(0)
+		endRead() // net/http does not read on before the refusal is sent
+		return cutByStopRefusal(0)
+	case errors.Is(err, reserver.ErrRequestsExhausted):
+		f.metrics.Count("bodies-without-memory")
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "memory", RetryAfter: memoryRetryAfter()}
 	case err != nil && time.Now().After(call.Deadline):
-		return size, &Refusal{Status: http.StatusRequestTimeout, Reason: "body-late"}
+		return &Refusal{Status: http.StatusRequestTimeout, Reason: "body-late"}
 	case err != nil:
-		return size, &Refusal{Status: http.StatusBadRequest, Reason: "body-incomplete"}
-	}
-	call.Body, call.bodyRead = buffer.Bytes(), time.Now()
-	return size, nil
-}
-
-// byteBudget bounds the sum of reserved bytes. It is safe for concurrent use.
-type byteBudget struct {
-	mu        sync.Mutex
-	available int64
-}
-
-// tryReserve reserves an amount if it is available.
-func (b *byteBudget) tryReserve(amount int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if amount > b.available {
-		return false
+		return &Refusal{Status: http.StatusBadRequest, Reason: "body-incomplete"}
 	}
-	b.available -= amount
-	return true
-}
-
-// reserve reserves an amount that is already in use, even if that exceeds what is
-// available. A negative amount is released.
-func (b *byteBudget) reserve(amount int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.available -= amount
+	call.Body, call.bodyRead = body, time.Now()
+	return nil
 }
 
-func (b *byteBudget) release(amount int64) {
-	b.reserve(-amount)
+// memoryRetryAfter returns a time of 1 to 2 s, so that the callers whose bodies were refused
+// together do not send them again together.
+func memoryRetryAfter() time.Duration {
+	return time.Second + rand.N(time.Second)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -208,7 +208,7 @@
 	origins         Origins
 	crashes         detector.Detector
 	newestWaits     newestWaits
-	bodyMemory      byteBudget
+	requestMemory   *reserver.Budget
 	responseMemory  reserver.Budget
 	lastPlacementID atomic.Uint64
 	openRequests    openRequests
@@ -233,16 +233,22 @@
 		dialect: dialect, fleet: fleet, metrics: metrics,
 		serverTransport: newTransport(serverAckTimeout, maxResponseHeadBytes),
 		relayTransport:  newTransport(relayAckTimeout, maxRelayedHeadBytes),
-		bodyMemory:      byteBudget{available: maxTotalBodyBytes},
+		requestMemory:   &reserver.Budget{Bytes: defaultRequestBytes},
 		responseMemory:  reserver.Budget{Bytes: maxTotalResponseBytes},
 		retryBudgets:    serviceBudgets{limit: retryLimit},
 		crashes:         detector.Detector{Metrics: metrics},
 	}
 }
 
-// maxTotalBodyBytes bounds the memory for the bodies of all requests in
-// progress.
-const maxTotalBodyBytes = 64 << 20
+// defaultRequestBytes bounds the memory for the bodies of all requests in progress
+// unless UseRequestMemory is called.
+const defaultRequestBytes = 64 << 20
+
+// UseRequestMemory sets the budget for the bodies of requests, also of relayed ones. It
+// must be called before the first request.
+func (f *Forwarder) UseRequestMemory(budget *reserver.Budget) {
+	f.requestMemory = budget
+}
 
 // maxTotalResponseBytes bounds the memory for the responses and events that all
 // requests in progress are reading.
@@ -293,8 +299,9 @@
 	if f.isOutdated(call) {
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: reasonDefinitionBehind, RetryAfter: behindRetryAfter}
 	}
-	size, refusal := f.readBody(w, call, call.maxBody)
-	defer f.bodyMemory.release(size)
+	memory := reserver.Reservation{Budget: f.requestMemory}
+	defer memory.Shrink(0)
+	refusal = f.readBody(w, call, &memory)
 	switch {
 	case refusal != nil && refusal.isFinal() && !f.awaitNewest(call):
 		return f.unknownRefusal()
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -17,6 +17,7 @@
 	"github.com/boragehead/boragehead/internal/definer"
 	"github.com/boragehead/boragehead/internal/matcher"
 	"github.com/boragehead/boragehead/internal/placer"
+	"github.com/boragehead/boragehead/internal/reserver"
 	"github.com/boragehead/boragehead/internal/responder"
 )
 
@@ -243,8 +244,9 @@
 	if refusal := f.relayedRefusal(call); refusal != nil {
 		return refusal
 	}
-	size, refusal := f.readBody(w, call, call.maxBody)
-	defer f.bodyMemory.release(size)
+	memory := reserver.Reservation{Budget: f.requestMemory}
+	defer memory.Shrink(0)
+	refusal := f.readBody(w, call, &memory)
 	if refusal == nil {
 		refusal = f.stoppingRefusal(call)
 	}
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -90,13 +90,14 @@
 	actors.Add("reloader", settingsReloader[loader.Control]{path: path, hangups: actors.Hangups(), apply: func(next loader.Control) {
 		c.SetSeeds(next.SeedPeers())
 	}}.run)
-	var opener portOpener
-	if peers := opener.listen("peer-address", settings.PeerAddress); opener.err == nil {
+	resources := conductor.NewResources(settings.MemoryMB, settings.MaxFiles, counters)
+	opener := portOpener{resources: resources}
+	if peers := opener.listen("peer-address", settings.PeerAddress, sharePeers); opener.err == nil {
 		actors.Add("peers", messenger.NewPlainServer(peers, mux).Run)
 	}
-	opener.serve(actors, "metrics", settings.MetricsAddress(), counters)
-	operators := opener.serve(actors, "operator-address", settings.OperatorAddress, dialect.OperatorHandler(c))
-	directory := opener.serve(actors, "directory-address", settings.DirectoryAddress, dialect.DirectoryHandler(c))
+	opener.serve(actors, "metrics", settings.MetricsAddress(), shareMetrics, counters)
+	operators := opener.serve(actors, "operator-address", settings.OperatorAddress, shareOperators, resources.LimitBodies(dialect.OperatorHandler(c)))
+	directory := opener.serve(actors, "directory-address", settings.DirectoryAddress, shareDirectory, dialect.DirectoryHandler(c))
 	if opener.err != nil {
 		return opener.err
 	}
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -52,12 +52,14 @@
 	client := messenger.NewPlainClient(certifier.Identity{Name: settings.Name, Role: certifier.RoleGate})
 	defer client.Close()
 	counters := measurer.New()
+	resources := conductor.NewResources(settings.MemoryMB, settings.MaxFiles, counters)
 	e := &Entry{settings: settings, counters: counters}
 	e.follower = follower.New(settings, controller.Decoder(dialect.Decode), client, port)
 	e.forwarder = forwarder.New(dialect, e.follower, counters, forwarder.RetryLimit{
 		Share: settings.RetryShare, Slack: settings.RetrySlack, Window: settings.RetryWindow,
 	})
 
+	e.forwarder.UseRequestMemory(resources.Memory)
 	e.forwarder.UseQuarantine(e.follower)
 	e.forwarder.UseOrigins(e.follower)
 	actors.Add("follower", e.follower.Run)
@@ -68,11 +70,11 @@
 	actors.Add("reloader", settingsReloader[loader.Entry]{path: path, hangups: actors.Hangups(), apply: func(next loader.Entry) {
 		e.follower.AddControlInstances(next.SeedPeers())
 	}}.run)
-	var opener portOpener
-	opener.serve(actors, "metrics", settings.MetricsAddress(), counters)
-	opener.serve(actors, "ready", settings.ReadyAddress, dialect.ReadyHandler(e.follower.Ready))
-	e.relayPort = opener.serve(actors, "relays", settings.RelayAddress(), e.forwarder.RelayHandler())
-	e.callerPort = opener.serve(actors, "callers", settings.CallerAddress, e.forwarder)
+	opener := portOpener{resources: resources}
+	opener.serve(actors, "metrics", settings.MetricsAddress(), shareMetrics, counters)
+	opener.serve(actors, "ready", settings.ReadyAddress, shareReady, dialect.ReadyHandler(e.follower.Ready))
+	e.relayPort = opener.serve(actors, "relays", settings.RelayAddress(), shareRelays, e.forwarder.RelayHandler())
+	e.callerPort = opener.serve(actors, "callers", settings.CallerAddress, shareCallers, e.forwarder)
 	if opener.err != nil {
 		return opener.err
 	}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -56,30 +56,44 @@
 	}
 }
 
-// listen opens a listener. Errors begin with the name of the port's setting.
-func listen(name string, address netip.AddrPort) (*conductor.Listener, error) {
-	listener, err := conductor.Listen(address.String())
-	return listener, trace.Wrap(err, name)
-}
+// Shares of the process's descriptors that the connections of a port may have. A request of a
+// caller or of another entry instance takes a second descriptor, to its server. What the
+// shares of a process leave, 126 of 4,096, is for its files and the connections that it opens
+// itself. 300 peers that reconnect while their old connections still stand, and 3,000 servers
+// that announce themselves, fit into those of a control instance with 4,096.
+const (
+	shareCallers   = 11. / 32
+	shareRelays    = 4. / 32
+	shareReady     = .5 / 32
+	shareMetrics   = .5 / 32
+	shareOperators = 24. / 32
+	sharePeers     = 5. / 32
+	shareDirectory = 1. / 32
+)
 
 // portOpener opens ports and keeps the first error. After an error its methods do
-// nothing and return nil.
+// nothing and return nil. Errors begin with the name of the port's setting.
 type portOpener struct {
-	err error
+	resources *conductor.Resources
+	err       error
 }
 
 // listen opens a listener on an address.
-func (p *portOpener) listen(name string, address netip.AddrPort) *conductor.Listener {
+func (p *portOpener) listen(name string, address netip.AddrPort, share float64) *conductor.Listener {
 	if p.err != nil {
 		return nil
 	}
-	listener, err := listen(name, address)
-	p.err = err
+	listener, err := conductor.Listen(address.String())
+	if err != nil {
+		p.err = trace.Wrap(err, name)
+		return nil
+	}
+	listener.Limits = p.resources.Port(name, share)
 	return listener
 }
 
 // serve opens a port for an HTTP handler and adds its server to the actors.
-func (p *portOpener) serve(actors *conductor.Actors, name string, address netip.AddrPort, handler http.Handler) *conductor.DrainableServer {
+func (p *portOpener) serve(actors *conductor.Actors, name string, address netip.AddrPort, share float64, handler http.Handler) *conductor.DrainableServer {
 	if p.err != nil {
 		return nil
 	}
@@ -88,6 +102,7 @@
 		p.err = trace.Wrap(err, name)
 		return nil
 	}
+	port.Listener.Limits = p.resources.Port(name, share)
 	actors.Serve(name, port.Server, port.Listener)
 	return port
 }
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -66,6 +66,7 @@
 	StopLinger time.Duration `yaml:"stop-linger" validate:"gte=0"`
 	// MaxBody is the maximum size of a request's body in bytes; default 4 MiB.
 	MaxBody int64 `yaml:"max-body" validate:"gte=0,lte=67108864"`
+	Limits  `yaml:",inline"`
 }
 
 // DirectoryAddress returns the address that the directory gives to callers.
@@ -84,6 +85,7 @@
 	DataFolder      string         `yaml:"data-folder" validate:"required"`
 	TLS             TLS            `yaml:"tls"`
 	Keepers         []Keeper       `yaml:"keepers" validate:"required,min=1,max=7,unique=Name,dive"`
+	Limits          `yaml:",inline"`
 }
 
 // Entry is the settings file of boragehead-entry.
@@ -129,13 +131,21 @@
 	Seeds []netip.AddrPort `yaml:"seeds" validate:"required,min=1"`
 	// FailureDomains maps every failure domain of the fleet to its region.
 	FailureDomains map[string]string `yaml:"failure-domains" validate:"required,min=1"`
-	// MemoryMB is how much memory the process may use, in MB of 2^20 bytes; 0 means
-	// no limit.
-	MemoryMB int64 `yaml:"memory-mb" validate:"gte=0"`
+	Limits         `yaml:",inline"`
 	// StopLimit bounds a graceful shutdown; default 8s.
 	StopLimit time.Duration `yaml:"stop-limit" validate:"gte=0"`
 }
 
+// Limits holds the resource limits of a process.
+type Limits struct {
+	// MemoryMB is how much memory the process may use, in MB of 2^20 bytes; 0 means
+	// no limit. Requests may use a quarter of it, or else 64 MB.
+	MemoryMB int64 `yaml:"memory-mb" validate:"gte=0"`
+	// MaxFiles is how many descriptors the process may use. The limits on the connections of
+	// its ports are derived from it. 0 stands for the process's own limit.
+	MaxFiles int64 `yaml:"max-files" validate:"eq=0|gte=128"`
+}
+
 // RelayAddress returns the address that serves requests relayed by other entry
 // instances.
 func (f Fleet) RelayAddress() netip.AddrPort {
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -203,6 +203,7 @@
 		return
 	}
 	defer s.untrack(conn)
+	setEstablished(conn)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	server := rpc.NewServer()
@@ -213,6 +214,17 @@
 	server.ServeConn(conn)
 }
 
+// setEstablished tells the listener of a connection that its peer is known: the connection is
+// not closed any more to make room for others.
+func setEstablished(conn net.Conn) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	if accepted, ok := conn.(interface{ Established() }); ok {
+		accepted.Established()
+	}
+}
+
 // track records a connection, so that it is closed together with the server. It
 // reports false if the server was closed while the connection was being opened.
 func (s *Server) track(conn net.Conn) bool {
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -1,11 +1,13 @@
 // Package reserver bounds the memory that all calls in progress take together for
-// the responses that they read.
+// the requests and responses that they read.
 package reserver
 
 import (
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // StepBytes is how much a reader of responses reserves at a time. The first step is
@@ -18,6 +20,9 @@
 	ErrTooLarge = errors.New("the body exceeds its limit")
 	// ErrExhausted means that the budget is exhausted.
 	ErrExhausted = errors.New("the memory for responses is exhausted")
+	// ErrRequestsExhausted means the same of a budget for requests, or that the reading of
+	// a request was ended to make room for others.
+	ErrRequestsExhausted = errors.New("the memory for requests is exhausted")
 )
 
 // Budget is a number of bytes that calls share. Its methods are safe for concurrent
@@ -28,31 +33,63 @@
 
 	mu       sync.Mutex
 	reserved int64
+	// droppable holds the reservations that a request may be ended for; see drop.go.
+	droppable map[*Reservation]struct{}
+	// searchedInVain is when none of them was found that had stalled.
+	searchedInVain time.Time
 }
 
-// tryReserve reserves an amount if it is available.
-func (b *Budget) tryReserve(amount int64) bool {
+// tryReserve grows a reservation to a size if the memory is available.
+func (b *Budget) tryReserve(r *Reservation, size int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.reserved+amount > b.Bytes {
+	switch {
+	case r.dropped:
 		return false
+	case b.hasRoom(r, size):
+	case r.Drop == nil || !b.makeRoom(r, size):
+		return false
+	}
+	b.reserved += size - r.counted
+	r.counted = size
+	if r.Drop != nil && !r.kept {
+		b.track(r)
 	}
-	b.reserved += amount
 	return true
 }
 
-func (b *Budget) release(amount int64) {
+// release shrinks a reservation to a size.
+func (b *Budget) release(r *Reservation, size int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reserved -= amount
+	if !r.dropped {
+		b.reserved -= r.counted - size
+		r.counted = size
+	}
+	if size == 0 {
+		delete(b.droppable, r)
+	}
 }
 
 // Reservation is what one call holds of a budget. It is used by one goroutine at a
 // time, and must be shrunk to 0 in the end.
 type Reservation struct {
+	// Budget is nil if the memory is not limited.
 	Budget *Budget
+	// Drop, unless nil, ends the reading of a request, for which the memory is held, to
+	// make room for others. It is called at most once and must neither block nor use the
+	// budget.
+	Drop func()
 
 	held int64
+	// counted is what of held counts in the budget; dropped means that Drop was called, and
+	// kept that it won't be. They are guarded by the budget's lock.
+	counted       int64
+	dropped, kept bool
+	// progressAt is when the last progressBytes had arrived, in nanoseconds of Unix time.
+	// unnoted is how many have since.
+	progressAt atomic.Int64
+	unnoted    int
 }
 
 // Held returns the number of bytes held.
@@ -63,7 +100,7 @@
 	if size <= r.held {
 		return true
 	}
-	if !r.Budget.tryReserve(size - r.held) {
+	if r.Budget != nil && !r.Budget.tryReserve(r, size) {
 		return false
 	}
 	r.held = size
@@ -72,10 +109,13 @@
 
 // Shrink releases all but size bytes.
 func (r *Reservation) Shrink(size int64) {
-	if size < r.held {
-		r.Budget.release(r.held - size)
-		r.held = size
+	if size >= r.held {
+		return
+	}
+	if r.Budget != nil {
+		r.Budget.release(r, size)
 	}
+	r.held = size
 }
 
 // minChunkBytes is the size of the first chunk of a body.
--- a/internal/runner/backends.go
+++ b/internal/runner/backends.go
@@ -12,6 +12,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/dispatcher"
 	"github.com/boragehead/boragehead/internal/logger"
 	"github.com/boragehead/boragehead/internal/registrar"
@@ -29,11 +30,11 @@
 )
 
 // newAnnouncementServer returns the server of the port for backend servers.
-func newAnnouncementServer(d *dispatcher.Dispatcher) *http.Server {
+func newAnnouncementServer(d *dispatcher.Dispatcher, resources *conductor.Resources) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("POST /v1/backends", &announcementHandler{dispatcher: d})
 	// net/http cancels a handler that runs beyond ReadTimeout; this one hardly waits.
-	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: announcementTimeout, IdleTimeout: announcerIdleTimeout}
+	return &http.Server{Handler: resources.LimitBodies(mux), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: announcementTimeout, IdleTimeout: announcerIdleTimeout}
 }
 
 // announcement is the JSON body with which a backend server reports its
--- a/internal/runner/backends_test.go
+++ b/internal/runner/backends_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/dispatcher"
 )
 
@@ -23,7 +24,7 @@
 			t.Parallel()
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
-			server := newAnnouncementServer(nil)
+			server := newAnnouncementServer(nil, conductor.NewResources(0, 0, nil))
 			go func() { _ = server.Serve(listener) }() // ends with the listener
 			defer func() { _ = server.Close() }()
 			conn, err := net.Dial("tcp", listener.Addr().String())
@@ -86,7 +87,7 @@
 		{"load", `{"running":-1}`, 400}, {"load", `{"waiting":9223372036854775807}`, 400}, {"load", `{"tokens":9223372036854775807}`, 400},
 		{"checks-fencing", `true} {"server":"t"`, 400}, {"checks-fencing", "true}\x00", 400},
 	}
-	server := newAnnouncementServer(dispatcher.New())
+	server := newAnnouncementServer(dispatcher.New(), conductor.NewResources(0, 0, nil))
 	for _, test := range tests {
 		t.Run(fmt.Sprintf("%s %.30s", test.field, test.value), func(t *testing.T) {
 			w := httptest.NewRecorder()
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -76,6 +76,7 @@
 	router        *router.Router
 	sender        *sender.Sender
 	registry      metrics.Registry
+	resources     *conductor.Resources
 	closer        *connectionCloser
 
 	callerServer *http.Server
@@ -114,6 +115,7 @@
 	g.configWatcher = newConfigWatcher(settings, g.client, g.follower, g.membership)
 	g.auth = authenticator.New(settings.Region, g.follower, g.membership)
 	g.reporter = reporter.New(g.registry)
+	g.resources = conductor.NewResources(settings.MemoryMB, settings.MaxFiles, g.reporter)
 	g.buildHandlers()
 	return g
 }
@@ -140,7 +142,7 @@
 			x.ClaimID = x.ID
 		}
 		return routing.HandleRelayed(ctx, x, sending.Handle)
-	}, g.reporter)
+	}, g.reporter, g.resources.Memory)
 
 	callerMux := exactMux{
 		handlersByPath: map[string]http.Handler{
@@ -148,14 +150,14 @@
 			"/v1/metrics":   http.HandlerFunc(g.serveMetrics),
 			"/v1/health":    http.HandlerFunc(g.serveHealth),
 		},
-		fallback: acceptor.New(chain, g.reporter),
+		fallback: acceptor.New(chain, g.reporter, g.resources.Memory),
 	}
 	g.callerServer = &http.Server{
 		Handler:           g.closer.wrap(callerMux),
 		ReadHeaderTimeout: acceptor.HeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	g.backendServer = newAnnouncementServer(g.dispatcher)
+	g.backendServer = newAnnouncementServer(g.dispatcher, g.resources)
 	g.relayServer = &http.Server{
 		Handler:           &relayHandler{follower: g.follower, serve: relayed.Serve},
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -244,10 +246,9 @@
 		return p, trace.Wrap(err, "backend-address")
 	}
 	g.backendPort = p.backends
-	if p.peers, err = conductor.Listen(g.settings.PeerAddress.String()); err != nil {
-		return p, trace.Wrap(err, "peer-address")
-	}
-	return p, nil
+	p.backends.Listener.Limits = g.resources.Port("backends", shareBackends)
+	p.peers, err = listenPeers(g.settings.PeerAddress, g.resources, shareGatePeers)
+	return p, err
 }
 
 // openCallerPort opens the callers' port and marks the instance ready once it
@@ -292,6 +293,7 @@
 		return nil, trace.Wrap(err, "caller-address")
 	}
 	g.callerPort.Store(port)
+	port.Listener.Limits = g.resources.Port("callers", shareCallers)
 	files := g.settings.CallerTLS
 	if files == nil {
 		return port.Listener, nil
@@ -300,6 +302,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "caller-tls")
 	}
+	port.Listener.Limits.Secure()
 	return tls.NewListener(port.Listener, &tls.Config{
 		MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}, NextProtos: []string{"http/1.1"},
 	}), nil
--- a/internal/runner/keeper.go
+++ b/internal/runner/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -46,14 +45,15 @@
 	if err != nil {
 		return trace.Wrap(err, "data-folder")
 	}
-	peers, err := net.Listen("tcp", settings.PeerAddress.String())
+	resources := conductor.NewResources(settings.MemoryMB, settings.MaxFiles, nil)
+	peers, err := listenPeers(settings.PeerAddress, resources, shareKeeperPeers)
 	if err != nil {
-		return trace.Wrap(err, "peer-address")
+		return err
 	}
 	mux := &messenger.Mux{}
 	k.Register(mux)
 	api := &http.Server{
-		Handler:           operator.NewHandler(k),
+		Handler:           resources.LimitBodies(operator.NewHandler(k)),
 		TLSConfig:         credentials.ServerConfig("http/1.1"),
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
@@ -61,6 +61,7 @@
 	if err != nil {
 		return trace.Wrap(err, "operator-address")
 	}
+	operators.Listener.Limits = resources.Port("operators", shareOperators).Secure()
 	for _, task := range k.Tasks() {
 		actors.Add(task.Name, task.Run)
 	}
