Callers leave memory to peers and checks; stalled requests leave connections

Cause: heads of callers could take the whole budget for requests, so that the ready check and peers found none; and a port whose connections all held stalled bodies refused every new connection until their deadlines.

Change: reservations of callers leave an eighth of the budget to the ready check, control traffic and peers. A port without a connection to close ends a stalled request.

--- a/internal/conductor/bodies.go
+++ b/internal/conductor/bodies.go
@@ -26,7 +26,7 @@
 		}
 		control := http.NewResponseController(w)
 		body := &countedBody{ReadCloser: request.Body, resources: r}
-		body.memory = reserver.Reservation{Budget: r.Memory, Drop: func() { _ = control.SetReadDeadline(longAgo) }}
+		body.memory = reserver.Reservation{Budget: r.Memory, Preferred: true, Drop: func() { _ = control.SetReadDeadline(longAgo) }}
 		defer body.memory.Shrink(0)
 		defer body.memory.Keep()
 		request.Body = body
--- a/internal/conductor/head.go
+++ b/internal/conductor/head.go
@@ -50,7 +50,7 @@
 		return false
 	}
 	if h.reservation == nil {
-		h.reservation = &reserver.Reservation{Budget: c.limits.resources.Memory, Drop: func() {
+		h.reservation = &reserver.Reservation{Budget: c.limits.resources.Memory, Preferred: !c.limits.public, Drop: func() {
 			c.limits.count("heads-dropped", "connection closed: the head of its request has stalled, and memory is short")
 			_ = c.TCPConn.Close() // net/http closes the portConn then
 		}}
--- a/internal/conductor/resources.go
+++ b/internal/conductor/resources.go
@@ -89,6 +89,13 @@
 	return p
 }
 
+// Public records that the connections of the port are callers', and returns its limits: they
+// leave a part of the memory to others.
+func (p *PortLimits) Public() *PortLimits {
+	p.public = true
+	return p
+}
+
 // count counts an event of a port and logs it at a bounded rate.
 func (p *PortLimits) count(event, message string) {
 	if p.resources.counter != nil {
@@ -100,14 +107,15 @@
 }
 
 // PortLimits limits the connections of a port. Beyond the limit, the connection is closed
-// that has been without a request for longest, and only if there is none a new one.
+// that has been without a request for longest. If there is none, a request is ended of which
+// the head or body has stalled, and only if there is none either, the new connection is closed.
 type PortLimits struct {
 	resources *Resources
 	name      string
 	// maxConnections is 0 if there is no limit.
 	maxConnections int
-	// secure means that the connections are encrypted.
-	secure bool
+	// secure means that the connections are encrypted, and public that they are callers'.
+	secure, public bool
 
 	mu   sync.Mutex
 	open int
@@ -123,9 +131,10 @@
 // admit counts a new connection, and closes another one if there are too many. It returns
 // false if that is not possible.
 func (p *PortLimits) admit(conn *portConn) bool {
+	replaces := false // the one that it replaces is about to be closed
 	for tries := 0; ; tries++ {
 		p.mu.Lock()
-		if p.maxConnections == 0 || p.open < p.maxConnections {
+		if p.maxConnections == 0 || p.open < p.maxConnections || replaces {
 			p.open++
 			conn.limits = p
 			conn.place = p.waiting.PushBack(conn)
@@ -135,6 +144,10 @@
 		longest := p.waiting.Front()
 		if longest == nil || tries > 2*maxPoliteTries {
 			p.mu.Unlock()
+			if replaces = p.resources.Memory.DropStalled(); replaces {
+				p.count("requests-dropped", "stalled request ended to make room for another connection")
+				continue
+			}
 			p.count("connections-refused", "connection refused: requests are being served on as many as the port may have")
 			return false
 		}
--- a/internal/conductor/resources_test.go
+++ b/internal/conductor/resources_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,14 +25,14 @@
 	return port.Listener.Addr().String()
 }
 
-func connectTo(t *testing.T, address, text string) (net.Conn, *bufio.Reader) {
+func connectTo(t *testing.T, address, text string) *bufio.Reader {
 	conn, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	_, err = io.WriteString(conn, text)
 	assert.NilError(t, err)
 	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
-	return conn, bufio.NewReader(conn)
+	return bufio.NewReader(conn)
 }
 
 const plainRequest = "GET / HTTP/1.1\r\nHost: test\r\n\r\n"
@@ -45,15 +46,15 @@
 			begun <- struct{}{}
 			<-goOn
 		}))
-		_, served := connectTo(t, address, plainRequest)
+		served := connectTo(t, address, plainRequest)
 		<-begun
-		_, silent := connectTo(t, address, text)
+		silent := connectTo(t, address, text)
 		time.Sleep(minCloseIdle) // what was sent has been read
-		_, other := connectTo(t, address, plainRequest)
+		other := connectTo(t, address, plainRequest)
 		<-begun
 		_, err := silent.ReadByte()
 		assert.Assert(t, err != nil, "the silent connection is open")
-		_, refused := connectTo(t, address, plainRequest)
+		refused := connectTo(t, address, plainRequest)
 		_, err = refused.ReadByte()
 		assert.Assert(t, err != nil, "a third request is served")
 		close(goOn)
@@ -74,9 +75,8 @@
 			w.WriteHeader(http.StatusBadRequest)
 		}
 	})))
-	for size, want := range map[string]int{"100": http.StatusOK, "65536": http.StatusServiceUnavailable} {
-		count := map[string]int{"100": 100, "65536": 65536}[size]
-		_, reader := connectTo(t, address, "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: "+size+"\r\n\r\n"+strings.Repeat("b", count))
+	for size, want := range map[int]int{100: http.StatusOK, 64 << 10: http.StatusServiceUnavailable} {
+		reader := connectTo(t, address, fmt.Sprintf("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("b", size)))
 		status, _, _ := readResponse(t, reader)
 		assert.Equal(t, status, want)
 	}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -61,16 +61,22 @@
 // shares of a process leave, 126 of 4,096, is for its files and the connections that it opens
 // itself. 300 peers that reconnect while their old connections still stand, and 3,000 servers
 // that announce themselves, fit into those of a control instance with 4,096.
-const (
-	shareCallers   = 11. / 32
-	shareRelays    = 4. / 32
-	shareReady     = .5 / 32
-	shareMetrics   = .5 / 32
-	shareOperators = 24. / 32
-	sharePeers     = 5. / 32
-	shareDirectory = 1. / 32
+var (
+	shareCallers   = portShare{part: 11. / 32, public: true}
+	shareRelays    = portShare{part: 4. / 32}
+	shareReady     = portShare{part: 1. / 64}
+	shareMetrics   = portShare{part: 1. / 64}
+	shareOperators = portShare{part: 24. / 32}
+	sharePeers     = portShare{part: 5. / 32}
+	shareDirectory = portShare{part: 1. / 32, public: true}
 )
 
+// portShare is a part of the process's descriptors. A public port is for callers.
+type portShare struct {
+	part   float64
+	public bool
+}
+
 // portOpener opens ports and keeps the first error. After an error its methods do
 // nothing and return nil. Errors begin with the name of the port's setting.
 type portOpener struct {
@@ -79,7 +85,7 @@
 }
 
 // listen opens a listener on an address.
-func (p *portOpener) listen(name string, address netip.AddrPort, share float64) *conductor.Listener {
+func (p *portOpener) listen(name string, address netip.AddrPort, share portShare) *conductor.Listener {
 	if p.err != nil {
 		return nil
 	}
@@ -88,12 +94,12 @@
 		p.err = trace.Wrap(err, name)
 		return nil
 	}
-	listener.Limits = p.resources.Port(name, share)
+	listener.Limits = p.resources.Port(name, share.part)
 	return listener
 }
 
 // serve opens a port for an HTTP handler and adds its server to the actors.
-func (p *portOpener) serve(actors *conductor.Actors, name string, address netip.AddrPort, share float64, handler http.Handler) *conductor.DrainableServer {
+func (p *portOpener) serve(actors *conductor.Actors, name string, address netip.AddrPort, share portShare, handler http.Handler) *conductor.DrainableServer {
 	if p.err != nil {
 		return nil
 	}
@@ -102,7 +108,10 @@
 		p.err = trace.Wrap(err, name)
 		return nil
 	}
-	port.Listener.Limits = p.resources.Port(name, share)
+	port.Listener.Limits = p.resources.Port(name, share.part)
+	if share.public {
+		port.Listener.Limits.Public()
+	}
 	actors.Serve(name, port.Server, port.Listener)
 	return port
 }
--- a/internal/reserver/drop.go
+++ b/internal/reserver/drop.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// SmallBytes is the largest reservation of a request that may use the whole budget.
-	// Larger ones leave a quarter of it, so that they cannot keep ordinary requests out.
+	// SmallBytes is the largest reservation of an ordinary request. Larger ones leave a
+	// quarter of the budget, so that they cannot keep ordinary requests out, and those of
+	// callers an eighth, so that they cannot keep out what is preferred.
 	SmallBytes = 64 << 10
 	// progressBytes must arrive within stallTime for a request not to count as stalled. A
 	// caller on the slowest link sends several times as much.
@@ -23,8 +24,12 @@
 // hasRoom reports whether a reservation may grow to a size. b.mu must be held.
 func (b *Budget) hasRoom(r *Reservation, size int64) bool {
 	limit := b.Bytes
-	if r.Drop != nil && size > SmallBytes {
+	switch {
+	case r.Drop == nil:
+	case size > SmallBytes:
 		limit -= limit / 4
+	case !r.Preferred:
+		limit -= limit / 8
 	}
 	return b.reserved+size-r.counted <= limit
 }
@@ -41,37 +46,60 @@
 }
 
 // makeRoom drops the requests that have stalled, those first that hold the most, until a
-// reservation may grow to a size and an eighth of the budget is free besides. It reports
+// reservation may grow to a size and a quarter of the budget is free. It reports
 // whether the reservation may grow. b.mu must be held.
 //
 // What a dropped request holds counts as free at once, although its goroutine frees it a
 // moment later: a small request would be refused otherwise.
 func (b *Budget) makeRoom(r *Reservation, size int64) bool {
+	for _, other := range b.stalled(r) {
+		if b.reserved <= b.Bytes*3/4 && b.hasRoom(r, size) {
+			break
+		}
+		b.drop(other)
+	}
+	return b.hasRoom(r, size)
+}
+
+// stalled returns the requests that have stalled, except for one, those first that hold the
+// most. b.mu must be held.
+func (b *Budget) stalled(except *Reservation) []*Reservation {
 	now := time.Now()
 	if now.Sub(b.searchedInVain) < searchPause {
-		return false
+		return nil
 	}
 	stalledBefore := now.Add(-stallTime).UnixNano()
 	var stalled []*Reservation
 	for other := range maps.Keys(b.droppable) {
-		if other != r && other.progressAt.Load() < stalledBefore {
+		if other != except && other.progressAt.Load() < stalledBefore {
 			stalled = append(stalled, other)
 		}
 	}
-	slices.SortFunc(stalled, func(a, b *Reservation) int { return cmp.Compare(b.counted, a.counted) })
-	for _, other := range stalled {
-		if b.reserved <= b.Bytes*7/8 && b.hasRoom(r, size) {
-			break
-		}
-		b.reserved -= other.counted
-		other.dropped = true
-		delete(b.droppable, other)
-		other.Drop()
-	}
-	if !b.hasRoom(r, size) {
+	if len(stalled) == 0 {
 		b.searchedInVain = now
+	}
+	slices.SortFunc(stalled, func(a, b *Reservation) int { return cmp.Compare(b.counted, a.counted) })
+	return stalled
+}
+
+// drop ends the reading of a request. b.mu must be held.
+func (b *Budget) drop(r *Reservation) {
+	b.reserved -= r.counted
+	r.dropped = true
+	delete(b.droppable, r)
+	r.Drop()
+}
+
+// DropStalled ends the reading of the stalled request that holds the most. It returns false if
+// none has stalled.
+func (b *Budget) DropStalled() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	stalled := b.stalled(nil)
+	if len(stalled) == 0 {
 		return false
 	}
+	b.drop(stalled[0])
 	return true
 }
 
--- a/internal/reserver/drop_test.go
+++ b/internal/reserver/drop_test.go
@@ -35,12 +35,20 @@
 	assert.Assert(t, !large2.TryGrow(200<<10), "a large request leaves a quarter to small ones")
 	ordinary, _ := newRequest(budget)
 	assert.Assert(t, ordinary.TryGrow(60<<10))
+	callers, _ := newRequest(budget)
+	assert.Assert(t, callers.TryGrow(60<<10))
+	assert.Assert(t, callers.TryGrow(64<<10))
+	late, _ := newRequest(budget)
+	assert.Assert(t, !late.TryGrow(64<<10), "callers leave an eighth to peers")
+	late.Preferred = true
+	time.Sleep(searchPause)
+	assert.Assert(t, late.TryGrow(64<<10))
 	time.Sleep(stallTime * 3 / 2)
 	moving.Progress(progressBytes)
 	assert.Assert(t, large2.TryGrow(200<<10))
 	assert.Assert(t, *largeDropped && !*smallDropped && !*movingDropped && !*readDropped)
 	assert.Assert(t, !large.TryGrow(251<<10) && !large.Keep(), "it is dropped")
-	for _, r := range []*Reservation{small, large, moving, read, large2, ordinary} {
+	for _, r := range []*Reservation{small, large, moving, read, large2, ordinary, callers, late} {
 		r.Shrink(0)
 	}
 	assert.Equal(t, budget.reserved, int64(0))
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -80,6 +80,9 @@
 	// make room for others. It is called at most once and must neither block nor use the
 	// budget.
 	Drop func()
+	// Preferred means that the request is not a caller's: callers leave a part of the budget
+	// for the ready check, for control traffic and for the system's own peers.
+	Preferred bool
 
 	held int64
 	// counted is what of held counts in the budget; dropped means that Drop was called, and
--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -293,7 +293,7 @@
 		return nil, trace.Wrap(err, "caller-address")
 	}
 	g.callerPort.Store(port)
-	port.Listener.Limits = g.resources.Port("callers", shareCallers)
+	port.Listener.Limits = g.resources.Port("callers", shareCallers).Public()
 	files := g.settings.CallerTLS
 	if files == nil {
 		return port.Listener, nil
