A complete head holds the memory of its own size only

Cause: until its end, all that is read with a head counts as one, under TLS 20 times. A request over TLS with a body of 16 KiB held 320 KiB until its response had been sent, so that about a hundred of them filled the budget of 184 MB.

Change: once the head is complete, what it holds beyond 16 KiB is corrected to the size of its lines.

Tests: TestCompleteHeadsHoldMemoryOfBytesReadWithThem (trial without the correction: failed).

--- a/internal/conductor/head.go
+++ b/internal/conductor/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"sync"
 
 	"github.com/boragehead/boragehead/internal/reserver"
@@ -18,6 +19,9 @@
 	secureByteFactor = 20
 	// headStepBytes is how much is reserved at a time.
 	headStepBytes = 4 << 10
+	// settleBytes is the reservation beyond which that of a complete head is corrected: the
+	// first bytes of a body were counted, too, and under TLS all bytes at their most.
+	settleBytes = 16 << 10
 )
 
 // headMemory is what the unfinished or served head of a connection's request holds of the
@@ -71,6 +75,22 @@
 	return h.reservation == nil || h.reservation.Keep()
 }
 
+// settle releases what a complete head holds less than was reserved for it.
+func (h *headMemory) settle(r *http.Request) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.reservation == nil || h.reservation.Held() <= settleBytes {
+		return
+	}
+	size := int64(headStepBytes + headByteFactor*len(r.RequestURI))
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += headLineBytes + int64(headByteFactor*(len(name)+len(value)))
+		}
+	}
+	h.reservation.Shrink(size)
+}
+
 // release releases the memory of a head, for good if the connection is closed.
 func (h *headMemory) release(closed bool) {
 	h.mu.Lock()
--- a/internal/conductor/port.go
+++ b/internal/conductor/port.go
@@ -91,6 +91,7 @@
 			if !conn.beginRequest() {
 				panic(http.ErrAbortHandler) // nobody would get the response
 			}
+			conn.head.settle(r)
 			if !r.ProtoAtLeast(1, 1) {
 				conn.setUnframed()
 			}
--- a/internal/conductor/resources_test.go
+++ b/internal/conductor/resources_test.go
@@ -81,3 +81,31 @@
 		assert.Equal(t, status, want)
 	}
 }
+
+// TestCompleteHeadsHoldMemoryOfBytesReadWithThem has two requests at an encrypted port, where
+// all that is read counts as a head at its most until the head is complete: the second one
+// found no memory.
+func TestCompleteHeadsHoldMemoryOfBytesReadWithThem(t *testing.T) {
+	resources := NewResources(0, 0, nil)
+	resources.Memory = &reserver.Budget{Bytes: 128 << 10}
+	begun, goOn := make(chan struct{}, 2), make(chan struct{})
+	port, err := NewPort(&http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		begun <- struct{}{}
+		<-goOn
+	})}, "127.0.0.1:0")
+	assert.NilError(t, err)
+	port.Listener.Limits = resources.Port("test", 1).Secure()
+	go func() { _ = port.Server.Serve(port.Listener) }() // returns when the server is closed
+	t.Cleanup(func() { _ = port.Server.Close() })
+	request := "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 4000\r\n\r\n" + strings.Repeat("b", 4000)
+	var readers []*bufio.Reader
+	for range 2 {
+		readers = append(readers, connectTo(t, port.Listener.Addr().String(), request))
+		time.Sleep(minCloseIdle)
+	}
+	close(goOn)
+	for _, reader := range readers {
+		status, _, _ := readResponse(t, reader)
+		assert.Equal(t, status, http.StatusOK)
+	}
+}
