--- a/internal/runner/gate.go
+++ b/internal/runner/gate.go
@@ -166,10 +166,6 @@
 	g.registerCalls(lending)
 }
 
-// maxHeaderBytes is the limit at which net/http itself rejects a header. The
-// acceptor has a lower limit, whose error answer has the gateway's format.
-const maxHeaderBytes = 1 << 20
-
 // registerCalls registers the calls of other entry instances and of keepers.
 func (g *Gate) registerCalls(lend *lender.Lender) {
 	entryRoles := []certifier.Role{certifier.RoleGate}
@@ -294,11 +290,10 @@
 	}
 	g.callerPort.Store(port)
 	port.Listener.Limits = g.resources.Port("callers", shareCallers).Public()
-	files := g.settings.CallerTLS
-	if files == nil {
+	if g.settings.CallerTLS == nil {
 		return port.Listener, nil
 	}
-	pair, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	pair, err := tls.LoadX509KeyPair(g.settings.CallerTLS.Certificate, g.settings.CallerTLS.Key)
 	if err != nil {
 		return nil, trace.Wrap(err, "caller-tls")
 	}
--- a/internal/runner/limits.go
+++ b/internal/runner/limits.go
@@ -20,6 +20,10 @@
 	shareOperators   = 4. / 32
 )
 
+// maxHeaderBytes is the limit at which net/http itself rejects a header. The
+// acceptor has a lower limit, whose error answer has the gateway's format.
+const maxHeaderBytes = 1 << 20
+
 // listenPeers opens the port for other processes.
 func listenPeers(address netip.AddrPort, resources *conductor.Resources, share float64) (net.Listener, error) {
 	listener, err := conductor.Listen(address.String())
