--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -58,8 +58,8 @@
 
 // Shares of the process's descriptors that the connections of a port may have. A request of a
 // caller or of another entry instance takes a second descriptor, to its server. What the
-// shares of a process leave, 126 of 4,096, is for its files and the connections that it opens
-// itself. 300 peers that reconnect while their old connections still stand, and 3,000 servers
+// shares of a process leave, 128 of 4,096 or more, is for its files and the other connections
+// that it opens itself. 300 peers that reconnect while their old connections still stand, and 3,000 servers
 // that announce themselves, fit into those of a control instance with 4,096.
 var (
 	shareCallers   = portShare{part: 11. / 32, public: true}
