follower, Makefile: two cases of a test have addresses of their own, hostile clients run apart

Cause: TestAnswerThatWaitedCountsAsNew failed twice beside load with "bind: address already in use": its second case listened at the address that the first one had just been told to give up. The tests of hostile clients measure memory and ran beside all others. Change: each case has its own address, its checks are as they were; make test runs platform/hostile after the other packages, also if one of those has failed.

--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,15 @@
 demo: build
 	$(GO) run ./examples/demo
 
+# The tests of hostile clients measure the memory of real processes and run apart from the
+# others, also after one of those has failed.
+HOSTILE = ./platform/hostile
+
 test:
-	$(GO) test -race ./...
+	status=0; \
+	$(GO) test -race $$($(GO) list ./... | grep -v /platform/hostile) || status=1; \
+	$(GO) test -race -count 1 $(HOSTILE) || status=1; \
+	exit $$status
 
 soak:
 	$(GO) test ./platform/soak -count 1 -timeout 30m -parallel 4 -soak.seeds $(SEEDS) -soak.stops $(SEEDS) -soak.added $(SEEDS)
--- a/internal/follower/outofstep_test.go
+++ b/internal/follower/outofstep_test.go
@@ -40,7 +40,7 @@
 // those of now.
 func TestAnswerThatWaitedCountsAsNew(t *testing.T) {
 	const waited, slack = 600 * time.Millisecond, 300 * time.Millisecond
-	for _, test := range []struct {
+	for number, test := range []struct {
 		name      string
 		held      time.Duration // what the control instance says it has held the question
 		least, to time.Duration
@@ -59,7 +59,7 @@
 				time.Sleep(waited)
 				return controller.WatchAnswer{Epoch: 1, Region: "north", Held: test.held}, nil
 			})
-			seed := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 186, byte(os.Getpid()), 10}), 7600)
+			seed := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 186, byte(os.Getpid()), 10 + 10*byte(number)}), 7600) // the last case may still listen at its own
 			listener, err := net.Listen("tcp4", seed.String())
 			assert.NilError(t, err)
 			ctx, cancel := context.WithCancel(t.Context())
