experimenter: attempts wait by their workspace

Cause: the waiting room shares between workspaces, and the simulation put all attempts into one. Change: the index of the workspace is passed on.

--- a/internal/experimenter/waiting.go
+++ b/internal/experimenter/waiting.go
@@ -1,6 +1,7 @@
 package experimenter
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/boragehead/boragehead/internal/admitter"
@@ -27,7 +28,7 @@
 		return false
 	}
 	added := entry.waiting.room.Add(s.now, admitter.Entry{
-		ID: request.ID, Service: request.Service.Name, Urgency: request.Urgency, Tokens: request.Work.Prompt, LeaveBy: refusal.WaitUntil,
+		ID: request.ID, Service: request.Service.Name, Urgency: request.Urgency, Workspace: strconv.Itoa(at.workspaceIndex), Tokens: request.Work.Prompt, LeaveBy: refusal.WaitUntil,
 	})
 	if !added {
 		return false
