controller, registrar: unchanged servers are reported once, changes in batches

Cause: an announcement whose warm-up or time until removal had come nearer by a second counted as a change. Such a server was sent to every entry instance of its region with each heartbeat, by all six control instances. When a fleet starts, each new server ended every watch at once, and every wake-up of a watch looked at the whole table, also for other regions' changes.

Change: times that only come nearer are no change, since users of a server subtract the age of a report. The table keeps its servers in the order of their changes, so that a watch looks only at later ones, and a watch is advanced past the changes of other regions. Ready servers and lists of instances wake watches at most once a millisecond for each entry instance; servers that leave still wake them at once.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -102,6 +102,7 @@
 	// changed is closed and replaced whenever a waiting watch must check for
 	// changes.
 	changed chan struct{}
+	wakeUps wakeUps
 
 	metrics       Metrics
 	refusedLogged logger.RateLimiter
@@ -264,9 +265,3 @@
 		}
 	}
 }
-
-// notifyWatchers wakes the waiting watches. c.mu must be held.
-func (c *Controller) notifyWatchers() {
-	close(c.changed)
-	c.changed = make(chan struct{})
-}
--- a/internal/controller/servers.go
+++ b/internal/controller/servers.go
@@ -71,7 +71,7 @@
 	if revision != before {
 		klog.InfoS("server changed", "server", announcement.Name, "service", announcement.Service, "address", announcement.Address.String(),
 			"state", announcement.State, "version", announcement.Version, "born", announcement.StartedAtMillis, "counter", announcement.Counter, "warmup", announcement.Warmup)
-		c.notifyWatchers()
+		c.notifyOfServer(announcement)
 	}
 	c.mu.Unlock()
 	if announcement.State != registrar.StateLeaving || errors.Is(err, registrar.ErrFull) {
@@ -200,7 +200,7 @@
 		c.peers.expire(now, c.settings.Region)
 		if c.peers.notifiedRevision != c.peers.revision || c.servers.Revision() != before {
 			c.peers.notifiedRevision = c.peers.revision
-			c.notifyWatchers()
+			c.notifyWatchersSoon()
 		}
 		pending := c.pendingForwards
 		c.pendingForwards = nil
@@ -233,13 +233,23 @@
 	valid := servers.Valid(now, c.RefuseServer)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	before := c.servers.Revision()
 	for _, server := range valid {
+		before := c.servers.Revision()
 		_ = c.servers.Announce(now, server) // stale announcements are ignored
+		if c.servers.Revision() != before {
+			c.notifyOfServer(server)
+		}
 	}
-	if c.servers.Revision() != before {
-		c.notifyWatchers()
+}
+
+// notifyOfServer wakes the waiting watches for a changed server: at once if it takes no more
+// requests. c.mu must be held.
+func (c *Controller) notifyOfServer(server registrar.Server) {
+	if server.State == registrar.StateReady {
+		c.notifyWatchersSoon()
+		return
 	}
+	c.notifyWatchers()
 }
 
 // runExchange exchanges complete tables, first with all other control instances,
--- a/internal/controller/watch.go
+++ b/internal/controller/watch.go
@@ -119,6 +119,7 @@
 			answer.StateAge, answer.Held = stateAge(confirmed), held
 			return answer, nil
 		}
+		query.ServersRevision = answer.ServersRevision // later changes of other regions are looked at once
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -149,20 +150,18 @@
 		}
 		hasChanges = true
 	}
-	if query.ServersRevision < answer.ServersRevision {
-		// Changes in other regions must not end the watch.
-		answer.Servers = slices.DeleteFunc(c.servers.Since(time.Now(), query.ServersRevision), func(s registrar.Server) bool {
-			return c.settings.FailureDomains[s.FailureDomain] != query.Region
-		})
-		hasChanges = hasChanges || len(answer.Servers) > 0
-	}
+	hasChanges = c.addServers(query, &answer) || hasChanges
 	hasChanges = c.addQuarantine(time.Now(), query, &answer) || hasChanges
 	if query.MixedHash != 0 {
 		mixed := c.origins.mixed
 		answer.Mixed = &mixed
 		hasChanges = hasChanges || mixed.Hash != query.MixedHash
 	}
-	if query.PeersRevision < answer.PeersRevision {
+	switch {
+	case query.PeersRevision >= answer.PeersRevision:
+	case query.PeersRevision > c.wakeUps.publishedPeers:
+		answer.PeersRevision = query.PeersRevision // the next wake-up tells of later changes
+	default:
 		answer.Controls = controls
 		c.addInstances(query, &answer)
 		hasChanges = true
@@ -170,6 +169,23 @@
 	return answer, hasChanges
 }
 
+// addServers adds the changed servers of the query's region to an answer and reports
+// whether there are any. c.mu must be held.
+func (c *Controller) addServers(query WatchQuery, answer *WatchAnswer) bool {
+	if query.Epoch == c.epoch && query.ServersRevision >= c.wakeUps.publishedServers {
+		answer.ServersRevision = query.ServersRevision // the next wake-up tells of later changes
+		return false
+	}
+	// Changes in other regions must not end the watch.
+	answer.Servers = slices.DeleteFunc(c.servers.Since(time.Now(), query.ServersRevision), func(s registrar.Server) bool {
+		return c.settings.FailureDomains[s.FailureDomain] != query.Region
+	})
+	if len(answer.Servers) == 0 {
+		c.peers.ackedServerRevisions[query.Name] = answer.ServersRevision // it lacks no change of its region
+	}
+	return len(answer.Servers) > 0
+}
+
 // addInstances adds the entry instances to an answer: those that have changed if the
 // query asks for that and has a list of this process to apply them to. c.mu must be held.
 func (c *Controller) addInstances(query WatchQuery, answer *WatchAnswer) {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -11,8 +11,8 @@
 package registrar
 
 import (
+	"container/list"
 	"errors"
-	"maps"
 	"net/netip"
 	"time"
 )
@@ -113,13 +113,21 @@
 	Server
 	lastHeard time.Time
 	revision  uint64
+	// warmUntil and removalAt are the times at which the warm-up and the server end, as
+	// announced at the last change; in the past if there is no such time.
+	warmUntil, removalAt time.Time
+	// element holds the entry in Table.byRevision.
+	element *list.Element
 }
 
 // Table holds the servers of the fleet. The zero value is empty. It is not safe
 // for concurrent use.
 type Table struct {
-	entries  map[string]*entry
-	revision uint64
+	entries map[string]*entry
+	// byRevision holds the entries in the order of their revisions, so that the latest
+	// changes are found without a look at every server.
+	byRevision list.List
+	revision   uint64
 	// fullUntil is when a full table is looked through again.
 	fullUntil time.Time
 }
@@ -144,7 +152,7 @@
 		known = &entry{}
 		t.entries[announcement.Name] = known
 	}
-	changed := !exists || visiblyChanged(known.Server, announcement)
+	changed := !exists || known.differsVisibly(announcement, heardAt)
 	known.Server, known.lastHeard = announcement, heardAt
 	if changed {
 		t.markChanged(known)
@@ -162,23 +170,51 @@
 		return false
 	}
 	t.fullUntil = now.Add(fullInterval)
-	maps.DeleteFunc(t.entries, func(_ string, e *entry) bool { return now.Sub(e.lastHeard) > fullRetention })
+	for _, e := range t.entries {
+		if now.Sub(e.lastHeard) > fullRetention {
+			t.remove(e)
+		}
+	}
 	return len(t.entries) < maxServers
 }
 
-// visiblyChanged reports whether two announcements of a server differ in a way that
-// matters to its users. The counter and fractions of a second of warm-up do not.
-func visiblyChanged(before, after Server) bool {
+// timeTolerance is how far an announced time may deviate from what was last reported
+// without being a change. Announcements are late by fractions of a second.
+const timeTolerance = time.Second
+
+// differsVisibly reports whether an announcement, made at a time, tells the users of the
+// server anything that does not follow from the last report. The counter and times that
+// only come nearer do not.
+func (e *entry) differsVisibly(announcement Server, madeAt time.Time) bool {
+	before, after := e.Server, announcement
 	before.Counter, after.Counter = 0, 0
-	before.Warmup = before.Warmup.Truncate(time.Second)
-	after.Warmup = after.Warmup.Truncate(time.Second)
-	return before != after
+	before.Warmup, after.Warmup = 0, 0
+	before.Remaining, after.Remaining = 0, 0
+	return before != after || deviates(e.warmUntil.Sub(madeAt), announcement.Warmup) || deviates(e.removalAt.Sub(madeAt), announcement.Remaining)
+}
+
+// deviates reports whether an announced duration differs from the expected one, which
+// counts as 0 if it is negative.
+func deviates(expected, announced time.Duration) bool {
+	return (max(expected, 0) - announced).Abs() > timeTolerance
 }
 
 // markChanged gives an entry a new revision of the table.
 func (t *Table) markChanged(e *entry) {
 	t.revision++
 	e.revision = t.revision
+	e.warmUntil, e.removalAt = e.lastHeard.Add(e.Warmup), e.lastHeard.Add(e.Remaining)
+	if e.element == nil {
+		e.element = t.byRevision.PushBack(e)
+		return
+	}
+	t.byRevision.MoveToBack(e.element)
+}
+
+// remove removes an entry.
+func (t *Table) remove(e *entry) {
+	t.byRevision.Remove(e.element)
+	delete(t.entries, e.Name)
 }
 
 // RecordDeparture records that a server has departed. startedAtMillis identifies
@@ -210,7 +246,7 @@
 // without an announcement for longer than the retention. A removal does not
 // change the revision.
 func (t *Table) ExpireSilent(now time.Time) {
-	for name, e := range t.entries {
+	for _, e := range t.entries {
 		silence := now.Sub(e.lastHeard)
 		silent := silence > SilenceTimeout && e.State != StateGone
 		if silent != e.Silent {
@@ -218,7 +254,7 @@
 			t.markChanged(e)
 		}
 		if silence > Retention {
-			delete(t.entries, name)
+			t.remove(e)
 		}
 	}
 }
@@ -240,13 +276,15 @@
 }
 
 // Since returns copies of the servers that changed after a revision, departed ones
-// included, in no particular order.
+// included, the latest change first. It takes time for each of them only.
 func (t *Table) Since(now time.Time, revision uint64) []Server {
 	var servers []Server
-	for _, e := range t.entries {
-		if e.revision > revision {
-			servers = append(servers, e.copyAt(now))
+	for element := t.byRevision.Back(); element != nil; element = element.Prev() {
+		e, isEntry := element.Value.(*entry)
+		if !isEntry || e.revision <= revision {
+			break
 		}
+		servers = append(servers, e.copyAt(now))
 	}
 	return servers
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -184,3 +184,53 @@
 		}
 	}
 }
+
+// TestTimesThatComeNearerAreNoChange announces a server whose warm-up and removal come nearer
+// as time passes, late by up to half a second. Only an end that moves by more than that is a
+// change: users of the server know the rest.
+func TestTimesThatComeNearerAreNoChange(t *testing.T) {
+	var table Table
+	server := readyServer("a", addressA, 5, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	announce := func(elapsed, warmup, remaining time.Duration) uint64 {
+		server.Counter++
+		server.Warmup, server.Remaining = max(warmup-elapsed, 0), max(remaining-elapsed, 0)
+		late := time.Duration(random.Int64N(int64(500 * time.Millisecond)))
+		assert.NilError(t, table.Announce(start.Add(elapsed+late), server))
+		return table.Revision()
+	}
+	for elapsed := time.Duration(0); elapsed < 30*time.Second; elapsed += 1200 * time.Millisecond {
+		assert.Equal(t, announce(elapsed, 10*time.Second, time.Minute), uint64(1), "after %v", elapsed)
+	}
+	assert.Equal(t, announce(31*time.Second, 10*time.Second, 50*time.Second), uint64(2), "earlier removal")
+	assert.Equal(t, announce(32*time.Second, 10*time.Second, 0), uint64(3), "no removal")
+	assert.Equal(t, announce(33*time.Second, 40*time.Second, 0), uint64(4), "another warm-up")
+	reported := table.Since(start.Add(34*time.Second), 0)
+	assert.Equal(t, len(reported), 1)
+	assert.Equal(t, reported[0].Warmup, 7*time.Second)
+}
+
+// TestChangesSinceRevision changes servers at random and checks that exactly those that have
+// changed since any earlier revision are found.
+func TestChangesSinceRevision(t *testing.T) {
+	var table Table
+	random := rand.New(rand.NewPCG(2, 1))
+	now := start
+	for step := range 3000 {
+		now = now.Add(50 * time.Millisecond)
+		name := fmt.Sprint("server-", random.IntN(40))
+		_ = table.Announce(now, readyServer(name, addressA, int64(1+random.IntN(step/100+1)), uint64(step)))
+		if random.IntN(10) == 0 {
+			table.RecordDeparture(now, name, 0)
+		}
+		table.ExpireSilent(now)
+		since := uint64(random.Int64N(int64(table.Revision()) + 1))
+		want := 0
+		for _, e := range table.entries {
+			if e.revision > since {
+				want++
+			}
+		}
+		assert.Equal(t, len(table.Since(now, since)), want)
+	}
+}
