controller, follower: descriptions of servers are sent once, then references

Cause: an entry instance that started was sent the complete list of its region's servers by every control instance, and later every change by all of them. Control instances sent each other the whole description of a server with each heartbeat, and complete tables every two seconds.

Change: watches answer with references to ready servers (hash of the description, counter, times, silence). An entry instance fetches the descriptions that it lacks from one control instance, of its region if there is one, and from the next if that fails. While it lacks some, its watch confirms no departure, and at its start it is not ready. Servers that leave or have left are still sent in full by all. Control instances forward and exchange references, and the receiver names those that it lacks; an exchange counts only when none is missing. Processes of an earlier release don't ask for references and get descriptions.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -99,6 +99,9 @@
 	// pendingForwards are announcements not yet sent to the other control
 	// instances.
 	pendingForwards []registrar.Server
+	// acceptsReferences holds the peer addresses of the control instances that know
+	// references to servers.
+	acceptsReferences map[string]bool
 	// changed is closed and replaced whenever a waiting watch must check for
 	// changes.
 	changed chan struct{}
@@ -210,8 +213,10 @@
 	messenger.Handle(mux, methodJoin, controls, c.serveJoin)
 	messenger.Handle(mux, methodExchange, controls, c.serveExchange)
 	messenger.Handle(mux, methodForward, controls, c.serveForward)
+	messenger.Handle(mux, methodDescribe, controls, c.serveServers)
 	messenger.Handle(mux, MethodWatch, gates, c.serveWatch)
 	messenger.Handle(mux, MethodDocument, gates, c.serveDocument)
+	messenger.Handle(mux, MethodServers, gates, c.serveServers)
 	messenger.Handle(mux, MethodReportEvidence, gates, c.serveReportEvidence)
 	messenger.Handle(mux, methodForwardEvidence, controls, c.serveForwardEvidence)
 	messenger.Handle(mux, MethodReportOrigins, gates, c.serveReportOrigins)
--- a/internal/controller/servers.go
+++ b/internal/controller/servers.go
@@ -9,50 +9,10 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
-	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/conductor"
-	"github.com/boragehead/boragehead/internal/logger"
-	"github.com/boragehead/boragehead/internal/quarantiner"
 	"github.com/boragehead/boragehead/internal/registrar"
 )
 
-// Calls with which control instances share the announcements of backend servers.
-const (
-	methodExchange = "servers-exchange"
-	methodForward  = "servers-tell"
-)
-
-// Limits of sharing.
-const (
-	// forwardInterval is how long announcements are batched before they are
-	// forwarded. Departures are also forwarded at once.
-	forwardInterval = 200 * time.Millisecond
-	// exchangeInterval is the time between two exchanges of complete tables, each
-	// with one other control instance.
-	exchangeInterval = 2 * time.Second
-	// maxPendingForwards bounds the announcements that wait to be forwarded. More
-	// are dropped; the next exchange covers them.
-	maxPendingForwards = 4096
-)
-
-// forwardQuery carries announcements to another control instance.
-type forwardQuery struct {
-	Servers registrar.List `cbor:"s"`
-}
-
-type forwardAnswer struct{}
-
-// exchangedTables is what each side of an exchange sends to the other.
-type exchangedTables struct {
-	Servers registrar.List `cbor:"s"`
-	// Controls are peer addresses, the sender's first.
-	Controls   []string           `cbor:"c"`
-	Quarantine []quarantiner.Part `cbor:"q,omitempty"`
-	// QuarantineDigest is that of the sender's table; see quarantiner.Table.Digest. The
-	// table itself is left out if the other side is known to have the same.
-	QuarantineDigest uint64 `cbor:"h,omitempty"`
-}
-
 // Announce records the announcement of a backend server. It returns
 // registrar.ErrStale if a newer one is known, and registrar.ErrFull if there is no
 // room. If the server is leaving, Announce returns the result of awaitPropagation
@@ -214,18 +174,6 @@
 	})
 }
 
-// forward sends announcements to one control instance. A failure is only logged.
-func (c *Controller) forward(ctx context.Context, address string, servers []registrar.Server) {
-	if _, err := call[forwardQuery, forwardAnswer](ctx, c, address, methodForward, forwardQuery{Servers: servers}); err != nil {
-		klog.V(2).InfoS("cannot forward server announcements", "to", address, "count", len(servers), "err", logger.ErrorText(err))
-	}
-}
-
-func (c *Controller) serveForward(_ context.Context, _ certifier.Identity, query forwardQuery) (forwardAnswer, error) {
-	c.mergeServers(query.Servers)
-	return forwardAnswer{}, nil
-}
-
 // mergeServers adds the announcements that another control instance has received.
 // Invalid ones, as a process of another release may send them, are left out.
 func (c *Controller) mergeServers(servers registrar.List) {
@@ -234,11 +182,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, server := range valid {
-		before := c.servers.Revision()
-		_ = c.servers.Announce(now, server) // stale announcements are ignored
-		if c.servers.Revision() != before {
-			c.notifyOfServer(server)
-		}
+		c.mergeServer(now, server)
+	}
+}
+
+// mergeServer adds an announcement that another control instance has received. c.mu must be
+// held.
+func (c *Controller) mergeServer(now time.Time, server registrar.Server) {
+	before := c.servers.Revision()
+	_ = c.servers.Announce(now, server) // stale announcements are ignored
+	if c.servers.Revision() != before {
+		c.notifyOfServer(server)
 	}
 }
 
@@ -252,77 +206,6 @@
 	c.notifyWatchers()
 }
 
-// runExchange exchanges complete tables, first with all other control instances,
-// then with one of them at a time. This repairs what was lost in transit or by a
-// restart.
-func (c *Controller) runExchange(ctx context.Context) error {
-	turn := 0
-	c.exchangeAll(ctx)
-	return conductor.RunEvery(ctx, exchangeInterval, func(ctx context.Context) {
-		others := c.otherControls()
-		if len(others) == 0 {
-			return
-		}
-		turn++
-		c.exchange(ctx, others[turn%len(others)])
-	})
-}
-
-// exchangeAll exchanges tables with all other control instances, one by one.
-func (c *Controller) exchangeAll(ctx context.Context) {
-	for _, address := range c.otherControls() {
-		c.exchange(ctx, address)
-	}
-}
-
-// exchange exchanges tables with one control instance. A failure is only logged.
-func (c *Controller) exchange(ctx context.Context, address string) {
-	c.mu.Lock()
-	digest := c.quarantineDigests[address]
-	c.mu.Unlock()
-	answer, err := call[exchangedTables, exchangedTables](ctx, c, address, methodExchange, c.localTables(digest))
-	if err != nil {
-		klog.V(2).InfoS("cannot exchange tables with a control instance", "with", address, "err", logger.ErrorText(err))
-		return
-	}
-	c.mergeTables(answer)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.quarantineDigests[address] = answer.QuarantineDigest
-}
-
-func (c *Controller) serveExchange(_ context.Context, _ certifier.Identity, query exchangedTables) (exchangedTables, error) {
-	answer := c.localTables(query.QuarantineDigest)
-	c.mergeTables(query)
-	return answer, nil
-}
-
-// localTables returns the tables of this instance. That of the quarantine is left out if
-// its digest is the one that the other side had last. c.mu must not be held.
-func (c *Controller) localTables(othersDigest uint64) exchangedTables {
-	controls := c.controlAddresses()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	tables := exchangedTables{Servers: c.servers.Since(now, 0), Controls: controls, QuarantineDigest: c.quarantine.Digest()}
-	if tables.QuarantineDigest != othersDigest {
-		tables.Quarantine = c.quarantine.Since(now, 0)
-	}
-	return tables
-}
-
-// mergeTables adds the tables of another control instance. Of its control
-// addresses only the first, its own, counts: the others were not heard here.
-func (c *Controller) mergeTables(tables exchangedTables) {
-	c.mergeServers(tables.Servers)
-	c.mergeEvidence(tables.Quarantine)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.peers.addControls(time.Now(), tables.Controls[:min(1, len(tables.Controls))]) {
-		c.notifyWatchers()
-	}
-}
-
 // otherControls returns the peer addresses of the known control instances, except
 // this one. c.mu must not be held.
 func (c *Controller) otherControls() []string {
--- a/internal/controller/watch.go
+++ b/internal/controller/watch.go
@@ -21,6 +21,10 @@
 // one.
 const watchWait = time.Second
 
+// unresolvedWait is the same for an entry instance that lacks descriptions. Confirmations
+// wait until it says that it has them.
+const unresolvedWait = 100 * time.Millisecond
+
 // maxExtraWait bounds the additional wait that a watch may ask for.
 const maxExtraWait = 10 * time.Second
 
@@ -61,6 +65,12 @@
 	MixedHash uint64 `cbor:"m,omitempty"`
 	// InstanceChanges asks for the changes of WatchAnswer.Instances alone.
 	InstanceChanges bool `cbor:"c,omitempty"`
+	// References asks for references to servers that accept requests. The entry instance
+	// fetches the descriptions that it lacks with MethodServers.
+	References bool `cbor:"f,omitempty"`
+	// Unresolved means that the entry instance still lacks descriptions of this answering
+	// process, so that ServersRevision does not confirm anything yet.
+	Unresolved bool `cbor:"u,omitempty"`
 }
 
 // WatchAnswer is the answer to a WatchQuery.
@@ -75,8 +85,10 @@
 	// State is set if it is newer than the one of the query. Its document is left
 	// out if the entry instance has that version, or asked for that.
 	State *State `cbor:"t,omitempty"`
-	// Servers are the changed servers of the entry instance's region.
-	Servers registrar.List `cbor:"s,omitempty"`
+	// Servers are the changed servers of the entry instance's region, and References are
+	// those of them that the entry instance is only sent references of.
+	Servers    registrar.List        `cbor:"s,omitempty"`
+	References []registrar.Reference `cbor:"f,omitempty"`
 	// ServersRevision is the revision up to which changed servers are included.
 	ServersRevision uint64 `cbor:"u"`
 	// Instances and Controls are complete lists of the entry instances and of the
@@ -107,7 +119,11 @@
 // serveWatch answers as soon as there is a change, or without one after the wait.
 func (c *Controller) serveWatch(ctx context.Context, _ certifier.Identity, query WatchQuery) (WatchAnswer, error) {
 	received := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, watchWait+min(query.ExtraWait, maxExtraWait))
+	wait := watchWait + min(query.ExtraWait, maxExtraWait)
+	if query.Unresolved {
+		wait = unresolvedWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
 		c.mu.Lock()
@@ -138,7 +154,7 @@
 	if c.peers.ackedServerRevisions == nil {
 		c.peers.ackedServerRevisions = map[string]uint64{}
 	}
-	c.peers.ackedServerRevisions[query.Name] = query.ServersRevision
+	c.recordAcked(query, query.ServersRevision)
 	answer := WatchAnswer{Epoch: c.epoch, Region: c.settings.Region, Index: state.Index, ServersRevision: c.servers.Revision(), PeersRevision: c.peers.revision + 1}
 	hasChanges := query.Epoch != c.epoch
 	if state.Index > query.Index {
@@ -181,9 +197,27 @@
 		return c.settings.FailureDomains[s.FailureDomain] != query.Region
 	})
 	if len(answer.Servers) == 0 {
-		c.peers.ackedServerRevisions[query.Name] = answer.ServersRevision // it lacks no change of its region
+		c.recordAcked(query, answer.ServersRevision) // it lacks no change of its region
+		return false
+	}
+	if query.References {
+		answer.Servers = slices.DeleteFunc(answer.Servers, func(s registrar.Server) bool {
+			if s.State == registrar.StateReady {
+				answer.References = append(answer.References, s.Reference())
+			}
+			return s.State == registrar.StateReady
+		})
+	}
+	return true
+}
+
+// recordAcked records the revision of the servers that the sender of a query has. c.mu must be
+// held.
+func (c *Controller) recordAcked(query WatchQuery, revision uint64) {
+	if query.Unresolved {
+		revision = min(revision, c.peers.ackedServerRevisions[query.Name])
 	}
-	return len(answer.Servers) > 0
+	c.peers.ackedServerRevisions[query.Name] = revision
 }
 
 // addInstances adds the entry instances to an answer: those that have changed if the
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -44,6 +44,8 @@
 	startTime time.Time
 	// fetchRequested wakes the fetcher.
 	fetchRequested chan struct{}
+	// descriptionsRequested wakes the fetcher of descriptions.
+	descriptionsRequested chan struct{}
 	// quarantine may be locked while mu is held, but not the other way round.
 	quarantine warden.Warden
 	origins    origins
@@ -69,6 +71,7 @@
 	// controlAddresses the addresses to watch.
 	controlWatches   map[string]*controlWatch
 	controlAddresses []string
+	descriptions     descriptions
 	// confirmedAt is the latest time of which this instance knows the newest definition
 	// that had been accepted until then: it is in force here, or recorded in newer.
 	confirmedAt time.Time
@@ -116,7 +119,12 @@
 	// answer may have arrived long after that, if this instance stood still.
 	serversAsOf     time.Time
 	reportsByServer map[string]serverReport
-	cancel          func()
+	// unresolved holds, by hash, the references that it sent and that lack descriptions.
+	unresolved map[uint64]unresolvedReference
+	// descriptionsFailedAt is when the last attempt to fetch descriptions from it failed;
+	// zero if that succeeded, or there was none.
+	descriptionsFailedAt time.Time
+	cancel               func()
 	// region is where the control instance runs; empty until its first answer.
 	region string
 	// listed holds the names of the entry instances that it lists.
@@ -173,7 +181,7 @@
 func New(settings loader.Entry, decode controller.Decoder, client *messenger.Client, socket *beaconer.Socket) *Follower {
 	f := &Follower{
 		settings: settings, decode: decode, client: client, beaconSocket: socket,
-		startTime: time.Now(), fetchRequested: make(chan struct{}, 1), lifecycle: beaconer.StateStarting, controlWatches: map[string]*controlWatch{}, otherInstances: map[string]entryInstance{},
+		startTime: time.Now(), fetchRequested: make(chan struct{}, 1), descriptionsRequested: make(chan struct{}, 1), lifecycle: beaconer.StateStarting, controlWatches: map[string]*controlWatch{}, otherInstances: map[string]entryInstance{},
 		otherDomains: map[string]domainSummary{}, ownDomain: domainAggregate{spentByInstance: map[string]instanceSpending{}},
 	}
 	f.self = beaconer.Instance{
--- a/internal/follower/servers.go
+++ b/internal/follower/servers.go
@@ -87,6 +87,7 @@
 	for _, watch := range f.controlWatches {
 		maps.DeleteFunc(watch.reportsByServer, func(name string, _ serverReport) bool { return !kept[name] })
 	}
+	f.forgetDescriptions(len(kept))
 }
 
 // claimTrust is how long a server that started later hides one at the same address that is
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -13,6 +13,7 @@
 	"github.com/boragehead/boragehead/internal/controller"
 	"github.com/boragehead/boragehead/internal/logger"
 	"github.com/boragehead/boragehead/internal/messenger"
+	"github.com/boragehead/boragehead/internal/registrar"
 )
 
 // Intervals and time limits of watches.
@@ -40,6 +41,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var fetcher sync.WaitGroup
 	fetcher.Go(func() { f.runFetcher(ctx) })
+	fetcher.Go(func() { f.runDescriptionFetcher(ctx) })
 	defer fetcher.Wait()
 	defer cancel() // a panic must not wait for the fetcher
 	for {
@@ -190,6 +192,7 @@
 		Epoch: watch.epoch, Index: f.queryIndex(watch), OmitDocument: true, Version: uint64(f.definitionVersion),
 		ServersRevision: watch.serversRevision, PeersRevision: watch.peersRevision, Region: f.settings.Region, Name: f.settings.Name,
 		QuarantineRevision: max(watch.quarantineRevision, 1), MixedHash: 1, InstanceChanges: true,
+		References: true, Unresolved: len(watch.unresolved) > 0,
 	}
 	if watch.mixed != nil && watch.serversAsOf.After(f.standstill.ended) { // else the answer is not held back
 		query.MixedHash = watch.mixed.Hash
@@ -236,8 +239,7 @@
 			klog.ErrorS(err, "cannot decode state; the current one stays in force", "index", answer.State.Index)
 		}
 	}
-	f.watchAnswered = true
-	f.updateReadiness()
+	f.recordWatchAnswered(watch)
 	return nil
 }
 
@@ -249,6 +251,7 @@
 		watch.epoch = answer.Epoch
 		watch.sendsDocuments = false
 		watch.reportsByServer = map[string]serverReport{}
+		watch.unresolved = nil
 		f.merged = mergeInputs{} // the next refresh merges what is left
 	}
 	watch.serversRevision = answer.ServersRevision
@@ -256,15 +259,21 @@
 		watch.peersRevision = answer.PeersRevision
 	}
 	for _, reported := range answer.Servers {
-		if known, exists := watch.reportsByServer[reported.Name]; !exists || !known.Newer(reported) || isDropped(known.asOf(now)) {
-			watch.reportsByServer[reported.Name] = serverReport{Server: reported, receivedAt: now}
-		}
+		watch.storeReport(now, reported)
+		f.addDescription(now, reported)
 	}
-	if len(answer.Servers) > 0 {
+	if f.applyReferences(now, watch, answer.References) || len(answer.Servers) > 0 {
 		f.mergeServerReports(now)
 	}
 }
 
+// storeReport stores a report unless a newer one of the server is known.
+func (w *controlWatch) storeReport(now time.Time, reported registrar.Server) {
+	if known, exists := w.reportsByServer[reported.Name]; !exists || !known.Newer(reported) || isDropped(known.asOf(now)) {
+		w.reportsByServer[reported.Name] = serverReport{Server: reported, receivedAt: now}
+	}
+}
+
 // skipServer logs that a control instance has reported what cannot be a server.
 func (f *Follower) skipServer(name string, cause error) {
 	if leftOut, ok := f.skippedLogged.Allow(time.Now()); ok {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -116,8 +116,10 @@
 	// warmUntil and removalAt are the times at which the warm-up and the server end, as
 	// announced at the last change; in the past if there is no such time.
 	warmUntil, removalAt time.Time
-	// element holds the entry in Table.byRevision.
-	element *list.Element
+	// element holds the entry in Table.byRevision, and description is its key in
+	// Table.byDescription.
+	element     *list.Element
+	description uint64
 }
 
 // Table holds the servers of the fleet. The zero value is empty. It is not safe
@@ -128,6 +130,8 @@
 	// changes are found without a look at every server.
 	byRevision list.List
 	revision   uint64
+	// byDescription holds the entries by Server.DescriptionHash.
+	byDescription map[uint64]*entry
 	// fullUntil is when a full table is looked through again.
 	fullUntil time.Time
 }
@@ -204,6 +208,7 @@
 	t.revision++
 	e.revision = t.revision
 	e.warmUntil, e.removalAt = e.lastHeard.Add(e.Warmup), e.lastHeard.Add(e.Remaining)
+	t.updateDescription(e)
 	if e.element == nil {
 		e.element = t.byRevision.PushBack(e)
 		return
@@ -211,9 +216,30 @@
 	t.byRevision.MoveToBack(e.element)
 }
 
+// updateDescription enters a changed entry under its description.
+func (t *Table) updateDescription(e *entry) {
+	if t.byDescription == nil {
+		t.byDescription = map[uint64]*entry{}
+	}
+	delete(t.byDescription, e.description)
+	e.description = e.DescriptionHash()
+	t.byDescription[e.description] = e
+}
+
+// Described returns a copy of the server with a description hash, and whether the table has
+// it.
+func (t *Table) Described(now time.Time, hash uint64) (Server, bool) {
+	e, known := t.byDescription[hash]
+	if !known {
+		return Server{}, false
+	}
+	return e.copyAt(now), true
+}
+
 // remove removes an entry.
 func (t *Table) remove(e *entry) {
 	t.byRevision.Remove(e.element)
+	delete(t.byDescription, e.description)
 	delete(t.entries, e.Name)
 }
 
