follower: the representative of a failure domain sends its beacons to four

Cause: a representative sent its digests, and the aggregates of other domains, to the square root of its domain: seven instances of 50. The busiest entry instance of a large fleet is a representative, and its link carries 1,250 kB/s.

Change: beacons are passed on in branches of four at every level.

A digest takes one hop more in a domain of 50. Tests of follower pass with -race.

--- a/internal/follower/collect.go
+++ b/internal/follower/collect.go
@@ -139,20 +139,15 @@
 	slices.SortFunc(live, netip.AddrPort.Compare)
 	outgoing := []outgoingBeacon{{beacon: beacon, addresses: silent}}
 	f.ownDomain.spreadTurn++
-	for _, branch := range spread(live, f.ownDomain.spreadTurn) {
-		beacon.Forward = branch.forward
-		outgoing = append(outgoing, outgoingBeacon{beacon: beacon, addresses: []netip.AddrPort{branch.to}})
-	}
-	return outgoing
+	return append(outgoing, spreadTo(live, f.ownDomain.spreadTurn, beacon)...)
 }
 
 // passOn returns the beacons by which this instance passes a received one on: to those
 // that it names, or, from another failure domain to a representative, to all of this
 // one.
 func (f *Follower) passOn(now time.Time, beacon beaconer.Beacon) []outgoingBeacon {
-	if addresses := beacon.Forward; len(addresses) > 0 {
-		beacon.Forward = nil
-		return []outgoingBeacon{{beacon: beacon, addresses: addresses}}
+	if len(beacon.Forward) > 0 {
+		return spreadTo(beacon.Forward, passOnTurn(beacon.Sequence), beacon)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
