tables check: findings on both forms of the configuration

Cause: boragehead tables check names only what the fleet rejects. It says nothing of entries that never match and of limits that contradict each other, and knows only the tables of fleets with operators.

--- a/cmd/boragehead/main.go
+++ b/cmd/boragehead/main.go
@@ -8,7 +8,11 @@
 )
 
 func main() {
-	commander.Main(&cli.Command{
+	commander.Main(rootCommand())
+}
+
+func rootCommand() *cli.Command {
+	return &cli.Command{
 		Name:  "boragehead",
 		Usage: "drive a boragehead fleet",
 		Flags: []cli.Flag{
@@ -27,5 +31,5 @@
 			certificatesCommand(),
 			experimentCommand(),
 		},
-	})
+	}
 }
--- a/cmd/boragehead/output.go
+++ b/cmd/boragehead/output.go
@@ -34,8 +34,8 @@
 // action with it.
 func withClient(action clientAction) cli.ActionFunc {
 	return func(ctx context.Context, command *cli.Command) error {
-		if output := command.String(flagOutput); output != outputText && output != outputJSON {
-			return trace.Wrap(commander.ErrUsage, "--output: %q is not allowed: use text or json", output)
+		if err := checkOutput(command); err != nil {
+			return err
 		}
 		settings, err := loader.Load[loader.Client](command.String(flagSettings))
 		if err != nil {
@@ -54,6 +54,14 @@
 	}
 }
 
+// checkOutput checks the value of --output.
+func checkOutput(command *cli.Command) error {
+	if output := command.String(flagOutput); output != outputText && output != outputJSON {
+		return trace.Wrap(commander.ErrUsage, "--output: %q is not allowed: use text or json", output)
+	}
+	return nil
+}
+
 // oneArgument returns a command's only argument.
 func oneArgument(command *cli.Command, name string) (string, error) {
 	if command.Args().Len() != 1 {
--- a/cmd/boragehead/tables.go
+++ b/cmd/boragehead/tables.go
@@ -28,7 +28,7 @@
 				Flags:  []cli.Flag{&cli.BoolFlag{Name: flagStale, Usage: "what a keeper has heard will do, also without a quorum"}},
 				Action: withClient(getTables),
 			},
-			{Name: "check", Usage: "check a file and name every fault", ArgsUsage: "FILE", Action: checkTables},
+			checkCommand(),
 			{Name: "diff", Usage: "show what a file would change", ArgsUsage: "FILE", Action: withClient(diffTables)},
 			{
 				Name:      "apply",
@@ -77,13 +77,6 @@
 	return tabler.Parse(path, text)
 }
 
-func checkTables(_ context.Context, command *cli.Command) error {
-	if _, err := readTables(command); err != nil {
-		return err
-	}
-	return printDone(command, "the tables are in order")
-}
-
 func diffTables(ctx context.Context, command *cli.Command, client *operator.Client) error {
 	next, err := readTables(command)
 	if err != nil {
--- a/internal/definer/definer.go
+++ b/internal/definer/definer.go
@@ -9,6 +9,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 )
 
@@ -105,6 +106,16 @@
 	Engine *Engine
 }
 
+// WarmupInterval returns the time between two requests to a server that is warming up,
+// or 0 if their rate is not limited.
+func (s Service) WarmupInterval() time.Duration {
+	if s.WarmupRate <= 0 {
+		return 0
+	}
+	// The conversion of a float beyond the range of a Duration is undefined.
+	return time.Duration(min(float64(time.Second)/s.WarmupRate, float64(math.MaxInt64/2)))
+}
+
 // Engine describes the inference engine of a service's servers.
 type Engine struct {
 	// Slots is the maximum batch size, in requests.
--- a/internal/forwarder/budget.go
+++ b/internal/forwarder/budget.go
@@ -17,6 +17,11 @@
 	Window time.Duration
 }
 
+// AllowsRetries reports whether a budget can ever hold one retry.
+func (l RetryLimit) AllowsRetries() bool {
+	return l.Share > 0 || usableSlackShare*l.Slack >= 1
+}
+
 // serviceBudgets holds one instance's retry budget for each service.
 //
 // Each request adds half of the allowed share. The balance may not exceed what
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -372,6 +372,12 @@
 	}
 }
 
+// PlainQuotaCost returns the charge of a request without a token count against the
+// quota of a workspace.
+func PlainQuotaCost(workspace *definer.Workspace) float64 {
+	return quotaCost(&Call{Workspace: workspace})
+}
+
 // quotaCost returns a call's charge against its workspace's quota, in requests
 // or in tokens as the workspace counts. Relayed calls cost nothing here: the
 // instance that relayed them has charged the quota.
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -255,8 +255,7 @@
 	if s.FailureDomain != p.FailureDomain {
 		return false
 	}
-	interval := time.Duration(float64(time.Second) / service.WarmupRate)
-	return p.warmupOwner(now, s) == p.InstanceName && now.Sub(s.lastSent) >= interval
+	return p.warmupOwner(now, s) == p.InstanceName && now.Sub(s.lastSent) >= service.WarmupInterval()
 }
 
 // warmupOwner returns the name of the live instance of this failure domain that
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -173,7 +173,18 @@
 // IsCompletion reports whether a path is a completion endpoint of the model
 // engines.
 func IsCompletion(path string) bool {
-	return path == "/v1/chat/completions" || path == "/v1/completions"
+	return slices.Contains(CompletionPaths(), path)
+}
+
+// CompletionPaths returns the completion endpoints of the model engines.
+func CompletionPaths() []string {
+	return []string{"/v1/chat/completions", "/v1/completions"}
+}
+
+// DefaultWork estimates the tokens of a request that has the shortest prompt and sets
+// no output limit.
+func DefaultWork(route tabler.Route, path string) exchanger.Work {
+	return newWork(route, acceptor.ParsedCompletion{PromptSize: 1}, IsCompletion(path))
 }
 
 // newWork estimates the tokens of a request. The output tokens are the request's
