tables check: what changes from the configuration in force

Cause: an operator cannot see, before a file is sent, which entries it changes, nor whether the fleet has a key for each workspace. A changed definition whose version is not above the one in force is a finding, since the fleet acknowledges it without a change.

--- a/cmd/boragehead/check.go
+++ b/cmd/boragehead/check.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
@@ -13,6 +14,7 @@
 	"github.com/boragehead/boragehead/internal/commander"
 	"github.com/boragehead/boragehead/internal/forwarder"
 	"github.com/boragehead/boragehead/internal/loader"
+	"github.com/boragehead/boragehead/internal/operator"
 	"github.com/boragehead/boragehead/internal/tabler"
 	"github.com/boragehead/boragehead/platform"
 )
@@ -21,6 +23,8 @@
 const (
 	flagForm          = "form"
 	flagEntrySettings = "entry-settings"
+	flagAgainst       = "against"
+	flagFleet         = "fleet"
 	formAuto          = "auto"
 	formTables        = "tables"
 	formDefinition    = "definition"
@@ -37,6 +41,8 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagForm, Usage: "tables (YAML), definition (JSON) or auto, which decides by the content", Value: formAuto},
 			&cli.StringFlag{Name: flagEntrySettings, Usage: "the settings `FILE` of an entry instance, whose retry budget a definition is checked against"},
+			&cli.StringFlag{Name: flagAgainst, Usage: "the `FILE` in force, of the same form; show what changes"},
+			&cli.BoolFlag{Name: flagFleet, Usage: "check tables against the fleet of the settings, with its keys; show what changes"},
 		},
 		Action: checkTables,
 	}
@@ -47,9 +53,13 @@
 	File     string            `json:"file"`
 	Form     string            `json:"form"`
 	Findings []auditor.Finding `json:"findings"`
+	// Changes are those from the configuration in force, if the check is given one.
+	Changes []auditor.Change `json:"changes,omitempty"`
+	// InForce is the revision or version in force.
+	InForce uint64 `json:"in-force,omitempty"`
 }
 
-func checkTables(_ context.Context, command *cli.Command) error {
+func checkTables(ctx context.Context, command *cli.Command) error {
 	if err := checkOutput(command); err != nil {
 		return err
 	}
@@ -70,7 +80,7 @@
 	}
 	switch report.Form {
 	case formTables:
-		checkTablesText(&report, text)
+		err = checkTablesText(ctx, command, &report, text)
 	case formDefinition:
 		err = checkDefinitionText(command, &report, text)
 	default:
@@ -82,17 +92,48 @@
 	return printReport(command, report)
 }
 
-func checkTablesText(report *checkReport, text []byte) {
+func checkTablesText(ctx context.Context, command *cli.Command, report *checkReport, text []byte) error {
 	tables, err := tabler.Parse(report.File, text)
 	if err != nil {
 		report.Findings = auditor.InvalidFindings(err)
-		return
+		return nil
 	}
 	report.Findings = auditor.Tables(tables)
+	if path := command.String(flagAgainst); path != "" {
+		current, err := readTablesFile(path)
+		if err != nil {
+			return trace.Wrap(commander.ErrUsage, "--%s: %v", flagAgainst, err)
+		}
+		report.Changes = auditor.DiffTables(current, tables)
+	}
+	if command.Bool(flagFleet) {
+		err = withClient(func(ctx context.Context, _ *cli.Command, client *operator.Client) error {
+			return checkFleet(ctx, client, report, tables)
+		})(ctx, command)
+	}
 	auditor.Locate(text, report.Findings)
+	return err
+}
+
+// checkFleet adds the findings on the keys of a fleet, and the changes from its tables.
+func checkFleet(ctx context.Context, client *operator.Client, report *checkReport, tables tabler.Tables) error {
+	current, revision, err := client.Tables(ctx, false)
+	if err != nil {
+		return err
+	}
+	keys, err := client.Keys(ctx)
+	if err != nil {
+		return err
+	}
+	report.Findings = append(report.Findings, auditor.Keys(tables, keys)...)
+	report.Changes, report.InForce = auditor.DiffTables(current, tables), uint64(revision)
+	return nil
 }
 
 func checkDefinitionText(command *cli.Command, report *checkReport, text []byte) error {
+	if command.Bool(flagFleet) {
+		return trace.Wrap(commander.ErrUsage, "--%s reads tables only: give a definition's version in force with --%s", flagFleet, flagAgainst)
+	}
 	var retryLimit *forwarder.RetryLimit
 	if path := command.String(flagEntrySettings); path != "" {
 		settings, err := loader.Load[loader.Entry](path)
@@ -101,7 +142,26 @@
 		}
 		retryLimit = &forwarder.RetryLimit{Share: settings.RetryShare, Slack: settings.RetrySlack, Window: settings.RetryWindow}
 	}
-	_, report.Findings, _ = platform.Dialect{}.Audit(text, retryLimit)
+	definition, findings, complete := platform.Dialect{}.Audit(text, retryLimit)
+	report.Findings = findings
+	path := command.String(flagAgainst)
+	if path == "" || !complete {
+		return nil
+	}
+	currentText, err := os.ReadFile(path)
+	if err != nil {
+		return trace.Wrap(commander.ErrUsage, "--%s: %v", flagAgainst, err)
+	}
+	current, err := platform.Dialect{}.Decode(currentText)
+	if err != nil {
+		return trace.Wrap(commander.ErrUsage, "--%s: %v", flagAgainst, err)
+	}
+	report.Changes, report.InForce = platform.Dialect{}.Diff(current, definition), uint64(current.Version)
+	if len(report.Changes) > 0 && definition.Version <= current.Version {
+		outdated := []auditor.Finding{auditor.Outdated(definition.Version, current.Version)}
+		auditor.Locate(text, outdated)
+		report.Findings = append(report.Findings, outdated...)
+	}
 	return nil
 }
 
@@ -113,6 +173,9 @@
 		for _, finding := range report.Findings {
 			printLine(w, "%s:%d: %s: %s: %s", report.File, finding.Line, finding.Field, finding.Kind, finding.Text)
 		}
+		for _, change := range report.Changes {
+			printLine(w, "%s\t%s\t%s\t%s", change.Op, change.Table, change.Name, strings.Join(change.Fields, ", "))
+		}
 		if len(report.Findings) == 0 {
 			printLine(w, "%s is in order", report.File)
 		}
--- a/cmd/boragehead/check_test.go
+++ b/cmd/boragehead/check_test.go
@@ -3,6 +3,10 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -10,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/boragehead/boragehead/internal/certifier"
 	"github.com/boragehead/boragehead/internal/commander"
 )
 
@@ -47,6 +52,62 @@
 	}
 }
 
+// TestCheckShowsChanges guards against changes that are left out or that show keys, and
+// against a definition that the fleet would not take because of its version.
+func TestCheckShowsChanges(t *testing.T) {
+	text, err := os.ReadFile(examples + "co-op/definition.json")
+	assert.NilError(t, err)
+	replace := strings.NewReplacer(`"example-key-swaps"`, `"SECRET", "SECRET-2"`, `"burst": 100}`, `"burst": 101}`)
+	out, err := runCheck(t, "--against", examples+"co-op/definition.json", writeFile(t, replace.Replace(string(text))))
+	assert.ErrorIs(t, err, errFindings)
+	for _, part := range []string{`"kind": "outdated"`, `"table": "tenants"`, `"api_keys (2 added, 1 removed)"`, `"burst"`, `"in-force": 1`} {
+		assert.Assert(t, strings.Contains(out, part), "%s not in %s", part, out)
+	}
+	for _, key := range []string{"SECRET", "example-key"} {
+		assert.Assert(t, !strings.Contains(out, key), out)
+	}
+}
+
+// TestCheckAgainstFleet guards against a check that leaves out the keys or the tables of
+// a running fleet.
+func TestCheckAgainstFleet(t *testing.T) {
+	folder := t.TempDir()
+	authority, err := certifier.OpenAuthority(folder)
+	assert.NilError(t, err)
+	assert.NilError(t, authority.Issue(folder, "k1", certifier.RoleKeeper, nil))
+	assert.NilError(t, authority.Issue(folder, "ops", certifier.RoleOperator, nil))
+	path := func(name string) string { return filepath.Join(folder, name) }
+	credentials, err := certifier.LoadCredentials(path("authority.pem"), path("k1.pem"), path("k1.key"))
+	assert.NilError(t, err)
+	answers := map[string]string{
+		"/v1/tables": `{"revision": 7, "tables": {"regions": [{"name": "n", "failure-domains": ["n-a"]}]}}`,
+		"/v1/keys":   `{"keys": [{"id": "1", "workspace": "one"}]}`,
+	}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, answers[r.URL.Path])
+	}))
+	server.TLS = credentials.ServerConfig("http/1.1")
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	settings := fmt.Sprintf("tls: {authority: authority.pem, certificate: ops.pem, key: ops.key}\nkeepers:\n- {name: k1, region: n, address: %q, operator-address: %q}\n",
+		server.Listener.Addr(), server.Listener.Addr())
+	assert.NilError(t, os.WriteFile(path("operator.yaml"), []byte(settings), 0o600))
+	t.Setenv("BORAGEHEAD_SETTINGS", path("operator.yaml"))
+	out, err := runCheck(t, "--fleet", writeFile(t, `
+regions: [{name: n, failure-domains: [n-a]}]
+pools: [{name: p, region: n}]
+routes: [{name: r, path: /r, pools: [p]}]
+workspaces:
+- {name: one, rate: 1, burst: 1}
+- {name: two, rate: 1, burst: 1}
+`))
+	assert.ErrorIs(t, err, errFindings)
+	for _, part := range []string{`"workspace-without-key"`, `"line": 7`, `"in-force": 7`, `"op": "add"`, `"name": "p"`} {
+		assert.Assert(t, strings.Contains(out, part), "%s not in %s", part, out)
+	}
+	assert.Equal(t, strings.Count(out, `"kind"`), 1, out)
+}
+
 // TestCheckPlacesFindings guards against findings without their place, wrong exit codes and
 // keys in the output.
 func TestCheckPlacesFindings(t *testing.T) {
--- a/cmd/boragehead/tables.go
+++ b/cmd/boragehead/tables.go
@@ -70,6 +70,10 @@
 	if err != nil {
 		return tabler.Tables{}, err
 	}
+	return readTablesFile(path)
+}
+
+func readTablesFile(path string) (tabler.Tables, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return tabler.Tables{}, trace.ConvertSystemError(err)
--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -20,6 +20,9 @@
 const (
 	// KindInvalid means that the fleet rejects the configuration.
 	KindInvalid Kind = "invalid"
+	// KindOutdated means that the fleet keeps what it has, because the version is not
+	// above the one in force.
+	KindOutdated Kind = "outdated"
 	// KindHiddenRoute means that other routes get all requests of a route.
 	KindHiddenRoute Kind = "hidden-route"
 	// KindUnused means that no request reaches a pool, a service or a target.
--- a/internal/auditor/auditor_test.go
+++ b/internal/auditor/auditor_test.go
@@ -80,6 +80,19 @@
 	assert.DeepEqual(t, found(auditor.Keys(soundTables(), keys)), []string{"workspace-without-key workspaces[0].name"})
 }
 
+// TestDiffTables guards against changes that are left out or attributed to other entries.
+func TestDiffTables(t *testing.T) {
+	next := soundTables()
+	next.Regions, next.Pools[0].Region = next.Regions[:1], "s"
+	next.Workspaces = append(next.Workspaces, tabler.Workspace{Name: "two"})
+	assert.DeepEqual(t, auditor.DiffTables(soundTables(), next), []auditor.Change{
+		{Op: "remove", Table: "regions", Name: "s"},
+		{Op: "change", Table: "pools", Name: "engines-n", Fields: []string{"region"}},
+		{Op: "add", Table: "workspaces", Name: "two"},
+	})
+	assert.Equal(t, len(auditor.DiffDefinitions(soundDefinition(), soundDefinition())), 0)
+}
+
 func soundDefinition() definer.Definition {
 	return definer.Definition{
 		Version:    1,
