--- a/cmd/boragehead/check.go
+++ b/cmd/boragehead/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/netip"
 	"os"
 	"strings"
 
@@ -25,6 +26,7 @@
 	flagEntrySettings = "entry-settings"
 	flagAgainst       = "against"
 	flagFleet         = "fleet"
+	flagControl       = "control"
 	formAuto          = "auto"
 	formTables        = "tables"
 	formDefinition    = "definition"
@@ -43,6 +45,7 @@
 			&cli.StringFlag{Name: flagEntrySettings, Usage: "the settings `FILE` of an entry instance, whose retry budget a definition is checked against"},
 			&cli.StringFlag{Name: flagAgainst, Usage: "the `FILE` in force, of the same form; show what changes"},
 			&cli.BoolFlag{Name: flagFleet, Usage: "check tables against the fleet of the settings, with its keys; show what changes"},
+			&cli.StringFlag{Name: flagControl, Usage: "the operators' `ADDRESS` of a control instance of a fleet that manages itself; show what a definition changes"},
 		},
 		Action: checkTables,
 	}
@@ -82,7 +85,7 @@
 	case formTables:
 		err = checkTablesText(ctx, command, &report, text)
 	case formDefinition:
-		err = checkDefinitionText(command, &report, text)
+		err = checkDefinitionText(ctx, command, &report, text)
 	default:
 		err = trace.Wrap(commander.ErrUsage, "--%s: %q is not allowed: use tables, definition or auto", flagForm, report.Form)
 	}
@@ -93,6 +96,9 @@
 }
 
 func checkTablesText(ctx context.Context, command *cli.Command, report *checkReport, text []byte) error {
+	if command.IsSet(flagControl) {
+		return trace.Wrap(commander.ErrUsage, "--%s reads a definition only: tables are compared with --%s", flagControl, flagFleet)
+	}
 	tables, err := tabler.Parse(report.File, text)
 	if err != nil {
 		report.Findings = auditor.InvalidFindings(err)
@@ -130,9 +136,9 @@
 	return nil
 }
 
-func checkDefinitionText(command *cli.Command, report *checkReport, text []byte) error {
+func checkDefinitionText(ctx context.Context, command *cli.Command, report *checkReport, text []byte) error {
 	if command.Bool(flagFleet) {
-		return trace.Wrap(commander.ErrUsage, "--%s reads tables only: give a definition's version in force with --%s", flagFleet, flagAgainst)
+		return trace.Wrap(commander.ErrUsage, "--%s reads tables only: a definition is compared with --%s", flagFleet, flagControl)
 	}
 	var retryLimit *forwarder.RetryLimit
 	if path := command.String(flagEntrySettings); path != "" {
@@ -144,17 +150,13 @@
 	}
 	definition, findings, complete := platform.Dialect{}.Audit(text, retryLimit)
 	report.Findings = findings
-	path := command.String(flagAgainst)
-	if path == "" || !complete {
-		return nil
-	}
-	currentText, err := os.ReadFile(path)
-	if err != nil {
-		return trace.Wrap(commander.ErrUsage, "--%s: %v", flagAgainst, err)
+	currentText, err := readInForce(ctx, command)
+	if err != nil || currentText == nil || !complete {
+		return err
 	}
 	current, err := platform.Dialect{}.Decode(currentText)
 	if err != nil {
-		return trace.Wrap(commander.ErrUsage, "--%s: %v", flagAgainst, err)
+		return trace.Wrap(commander.ErrUsage, "the definition in force: %v", err)
 	}
 	report.Changes, report.InForce = platform.Dialect{}.Diff(current, definition), uint64(current.Version)
 	if len(report.Changes) > 0 && definition.Version <= current.Version {
@@ -165,6 +167,27 @@
 	return nil
 }
 
+// readInForce returns the document of the definition in force, or nil if the command
+// names none.
+func readInForce(ctx context.Context, command *cli.Command) ([]byte, error) {
+	if address := command.String(flagControl); address != "" {
+		parsed, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, trace.Wrap(commander.ErrUsage, "--%s: %v", flagControl, err)
+		}
+		return platform.FetchDocument(ctx, parsed)
+	}
+	path := command.String(flagAgainst)
+	if path == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.Wrap(commander.ErrUsage, "--%s: %v", flagAgainst, err)
+	}
+	return text, nil
+}
+
 func printReport(command *cli.Command, report checkReport) error {
 	if report.Findings == nil {
 		report.Findings = []auditor.Finding{} // an empty list in JSON
--- a/cmd/boragehead/check_test.go
+++ b/cmd/boragehead/check_test.go
@@ -58,14 +58,25 @@
 	text, err := os.ReadFile(examples + "co-op/definition.json")
 	assert.NilError(t, err)
 	replace := strings.NewReplacer(`"example-key-swaps"`, `"SECRET", "SECRET-2"`, `"burst": 100}`, `"burst": 101}`)
-	out, err := runCheck(t, "--against", examples+"co-op/definition.json", writeFile(t, replace.Replace(string(text))))
-	assert.ErrorIs(t, err, errFindings)
-	for _, part := range []string{`"kind": "outdated"`, `"table": "tenants"`, `"api_keys (2 added, 1 removed)"`, `"burst"`, `"in-force": 1`} {
-		assert.Assert(t, strings.Contains(out, part), "%s not in %s", part, out)
-	}
-	for _, key := range []string{"SECRET", "example-key"} {
-		assert.Assert(t, !strings.Contains(out, key), out)
+	control := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.Check(t, r.URL.Path == "/-/config")
+		_, _ = w.Write(text)
+	}))
+	t.Cleanup(control.Close)
+	for _, inForce := range [][]string{{"--against", examples + "co-op/definition.json"}, {"--control", control.Listener.Addr().String()}} {
+		out, err := runCheck(t, append(inForce, writeFile(t, replace.Replace(string(text))))...)
+		assert.ErrorIs(t, err, errFindings)
+		for _, part := range []string{`"kind": "outdated"`, `"table": "tenants"`, `"api_keys (2 added, 1 removed)"`, `"burst"`, `"in-force": 1`} {
+			assert.Assert(t, strings.Contains(out, part), "%s not in %s", part, out)
+		}
+		for _, key := range []string{"SECRET", "example-key"} {
+			assert.Assert(t, !strings.Contains(out, key), out)
+		}
 	}
+	_, err = runCheck(t, "--control", control.Listener.Addr().String(), examples+"co-op/tables.yaml")
+	assert.ErrorIs(t, err, commander.ErrUsage)
+	_, err = runCheck(t, "--fleet", examples+"co-op/definition.json")
+	assert.ErrorIs(t, err, commander.ErrUsage)
 }
 
 // TestCheckAgainstFleet guards against a check that leaves out the keys or the tables of
