--- /dev/null
+++ b/internal/placer/outcome.go
@@ -0,0 +1,41 @@
+package placer
+
+import "time"
+
+// Outcome is how a placed request ended.
+type Outcome uint8
+
+// Outcomes of a placed request.
+const (
+	// OutcomeAnswered means that the server gave a valid answer.
+	OutcomeAnswered Outcome = iota
+	// OutcomeDeclined means that the server reported that it did not run the
+	// request.
+	OutcomeDeclined
+	// OutcomeUnreachable means that no connection to the server could be opened, or that
+	// another server is at its address.
+	OutcomeUnreachable
+	// OutcomeFailed means that the server gave no usable answer.
+	OutcomeFailed
+	// OutcomeAbandoned means that the request was abandoned on the caller's side.
+	// It does not count as a failure of the server.
+	OutcomeAbandoned
+)
+
+// Finish ends a placement: it removes the load of the request from its server and
+// records the outcome, which may eject the server. It ignores unknown IDs.
+func (p *Placer) Finish(now time.Time, id uint64, outcome Outcome) {
+	placed, known := p.placementsByID[id]
+	if !known {
+		return
+	}
+	delete(p.placementsByID, id)
+	s, known := p.serversByName[placed.start.name]
+	if !known {
+		return
+	}
+	s.ownLoad.subtract(placed.load)
+	s.loadChanged = true
+	mayEject := p.mayEject(now, s) || outcome == OutcomeUnreachable && p.readmitFailing(now, s.Service)
+	s.recordOutcome(now, outcome, mayEject, p.othersFailureRate(s))
+}
