placer, overflower: kinds, overloads and windows that are no longer used are forgotten

Cause: names of services and regions that are gone stayed in three maps. Change: they are dropped with age.

--- a/internal/overflower/overflower.go
+++ b/internal/overflower/overflower.go
@@ -10,7 +10,10 @@
 // The package starts no goroutine and reads no clock.
 package overflower
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Limits of a window, in relays without a known outcome.
 const (
@@ -25,6 +28,9 @@
 	// outcomeTimeout is after how long without any outcome the relays in a window count
 	// as lost, so that they cannot block it for good.
 	outcomeTimeout = 5 * time.Second
+	// windowTTL is how long an unused window is kept, so that services and regions that
+	// are gone leave none behind.
+	windowTTL = time.Minute
 )
 
 // Key identifies a window: requests of one urgency for one service that go to one
@@ -73,6 +79,7 @@
 	}
 	w, known := o.windows[key]
 	if !known {
+		maps.DeleteFunc(o.windows, func(_ Key, other *window) bool { return now.Sub(other.lastChange) > windowTTL })
 		w = &window{size: initialWindow}
 		o.windows[key] = w
 	}
--- a/internal/placer/headroom.go
+++ b/internal/placer/headroom.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Requests of one service can have objectives that differ several times over: short
 // urgent prompts wait behind every long one that an engine has begun to prefill. If
@@ -55,6 +58,12 @@
 	p.kinds[key] = kind{objective: objective, lastSeen: now}
 }
 
+// dropOldKinds forgets the kinds that no longer count, and overloads that are over.
+func (p *Placer) dropOldKinds(now time.Time) {
+	maps.DeleteFunc(p.kinds, func(_ kindKey, known kind) bool { return now.Sub(known.lastSeen) > kindTTL })
+	maps.DeleteFunc(p.refusals, func(_ kindKey, last overload) bool { return now.Sub(last.lastRefusal) > overloadPause })
+}
+
 // objectiveOf returns the objective of a request's kind.
 func (p *Placer) objectiveOf(request Request) time.Duration {
 	known, exists := p.kinds[kindKey{service: request.Service.Name, urgency: request.Urgency}]
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -189,6 +189,7 @@
 // SetServers is not.
 func (p *Placer) Refresh(now time.Time) {
 	p.dropOldNotices(now)
+	p.dropOldKinds(now)
 	p.limits.Forget(now, func(start throttler.Server) bool {
 		s, listed := p.serversByName[start.Name]
 		return listed && s.StartedAtMillis == start.StartedAtMillis
