--- a/internal/conductor/resources.go
+++ b/internal/conductor/resources.go
@@ -124,9 +124,9 @@
 	waiting list.List
 }
 
-// maxPoliteTries is how many connections are looked at for one on which nothing of a request
+// maxUnreadTries is how many connections are looked at for one on which nothing of a request
 // has arrived, before one is closed on which something has.
-const maxPoliteTries = 16
+const maxUnreadTries = 16
 
 // admit counts a new connection, and closes another one if there are too many. It returns
 // false if that is not possible.
@@ -142,7 +142,7 @@
 			return true
 		}
 		longest := p.waiting.Front()
-		if longest == nil || tries > 2*maxPoliteTries {
+		if longest == nil || tries > 2*maxUnreadTries {
 			p.mu.Unlock()
 			if replaces = p.resources.Memory.DropStalled(); replaces {
 				p.count("requests-dropped", "stalled request ended to make room for another connection")
@@ -154,7 +154,7 @@
 		other := longest.Value.(*portConn)
 		p.waiting.MoveToBack(longest)
 		p.mu.Unlock()
-		if other.closeIfUnread() || tries >= maxPoliteTries && other.closeIfUnserved() {
+		if other.closeIfUnread() || tries >= maxUnreadTries && other.closeIfUnserved() {
 			p.count("connections-evicted", "connection without a request closed to make room for another one")
 		}
 	}
