--- a/review/harness2/cold.go
+++ b/review/harness2/cold.go
@@ -11,15 +11,21 @@
 )
 
 func init() {
-	scenarios["cold"] = scenarioOf{playCold, map[string]int{"utara-prai": 13, "selatan-pgudang": 6, "sarawak-kch": 6}}
+	scenarios["cold"] = scenarioOf{playCold, map[string]int{lostZone: 13, "selatan-pgudang": 6, "sarawak-kch": 6}}
 }
 
-// Values of the rule FAILBACK.
+// Values of the rule FAILBACK, and of the case.
 const (
 	warmupPerSecond = 1.7
 	warmupOvershoot = 1.5
 	coldSlack       = 3
 	warmupTime      = 3 * time.Second
+
+	lostZone    = "utara-prai"
+	lostEngines = 14
+	lostTime    = 3 * time.Second
+	// returnTime is how long after the servers the machines are back.
+	returnTime = 700 * time.Millisecond
 )
 
 // serveStream answers with a short stream.
@@ -53,15 +59,21 @@
 	return s.at[id]
 }
 
+// playCold loses a region with its machines and its engines, which come back cold. With
+// trouble unset, the machines run on, and the engines alone come back cold.
 func playCold(f *fleet, trouble bool) (bool, error) {
 	if err := f.startAll(); err != nil {
 		return false, err
 	}
-	e, err := f.newEngine("llm", "utara-prai", 64)
-	if err != nil {
-		return false, err
+	var lost []*engine
+	for range lostEngines {
+		e, err := f.newEngine("llm", lostZone, 64)
+		if err != nil {
+			return false, err
+		}
+		e.serve = serveStream
+		lost = append(lost, e)
 	}
-	e.serve = serveStream
 	if err := f.define(newDocument(7)); err != nil {
 		return false, err
 	}
@@ -69,60 +81,78 @@
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
-	var near []*process
-	for _, entry := range f.entries {
-		if entry.zone == e.zone {
-			near = append(near, entry)
+	var machines []*process
+	for _, p := range f.all() {
+		if p.zone == lostZone {
+			machines = append(machines, p)
 		}
 	}
 	sent := &sentTimes{}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	for _, entry := range near {
-		clients.Go(func() {
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				c, err := openChannel(entry.front())
-				if err != nil {
-					time.Sleep(20 * time.Millisecond)
-					continue
-				}
-				id := newID()
-				sent.note(id)
-				got := c.ask(http.MethodPost, "/draft/2f", id, "prompt", 5*time.Second, "X-Model: m", "X-Token-Usage: 460,80", "X-Prefix-Hash: 5c1e07a2:400,"+id+":60")
-				f.record.note("client at %s: %s answered %d %v", entry.name, id, got.status, got.err)
-				c.close()
-				time.Sleep(250 * time.Millisecond)
-			}
-		})
+	for _, entry := range machines {
+		if entry.role == "entry" {
+			clients.Go(func() { f.askOnAndOn(entry, sent, stop) })
+		}
 	}
 	time.Sleep(2 * time.Second)
-	e.restart(warmupTime)
-	coldFrom := time.Now()
-	f.record.note("engine %s: started again, cold for %v", e.id, warmupTime)
-	time.Sleep(500 * time.Millisecond)
 	if trouble {
-		for _, entry := range near {
-			entry.signal(syscall.SIGKILL)
+		for _, machine := range machines {
+			machine.signal(syscall.SIGKILL)
 		}
-		f.record.note("%d of %d entry instances killed", len(near), len(f.entries))
-		time.Sleep(300 * time.Millisecond)
-		for _, entry := range near {
-			entry.kill()
-			if err := entry.start(false); err != nil {
+	}
+	for _, e := range lost {
+		e.down()
+	}
+	f.record.note("the region is lost: %d engines, machines: %v", len(lost), trouble)
+	time.Sleep(lostTime)
+	for _, e := range lost {
+		if err := e.up(warmupTime); err != nil {
+			return false, err
+		}
+	}
+	coldFrom := time.Now()
+	f.record.note("the engines are back, cold for %v", warmupTime)
+	time.Sleep(returnTime)
+	if trouble {
+		for _, machine := range machines {
+			machine.kill() // they have ended
+			if err := machine.start(false); err != nil {
 				return false, err
 			}
 		}
-		f.record.note("started again")
+		f.record.note("the machines are back")
 	}
 	time.Sleep(time.Until(coldFrom.Add(warmupTime + time.Second)))
 	close(stop)
 	clients.Wait()
-	return f.coldOverrun(e, sent, coldFrom, coldFrom.Add(warmupTime)), nil
+	broken := false
+	for _, e := range lost {
+		broken = f.coldOverrun(e, sent, coldFrom, coldFrom.Add(warmupTime)) || broken
+	}
+	return broken, nil
+}
+
+// askOnAndOn has a client ask an entry instance for drafts, one after the other.
+func (f *fleet) askOnAndOn(entry *process, sent *sentTimes, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		c, err := openChannel(entry.front())
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		id := newID()
+		sent.note(id)
+		got := c.ask(http.MethodPost, "/draft/2f", id, "prompt", 5*time.Second, "X-Model: m", "X-Token-Usage: 460,80", "X-Prefix-Hash: 5c1e07a2:400,"+id+":60")
+		f.record.note("client at %s: %s answered %d %v", entry.name, id, got.status, got.err)
+		c.close()
+		time.Sleep(250 * time.Millisecond)
+	}
 }
 
 // coldOverrun reports whether a cold engine got more requests in a second than the rule
@@ -132,25 +162,23 @@
 	defer e.mu.Unlock()
 	limit := warmupPerSecond*warmupOvershoot + coldSlack
 	most := 0
-	for i, first := range e.runs {
-		if first.at.Before(from) || first.at.After(until) {
-			continue
-		}
+	for _, first := range e.runs {
 		begin := sent.of(first.id)
 		if begin.Before(from) {
 			continue
 		}
 		count := 0
 		for _, other := range e.runs {
-			at := sent.of(other.id)
-			if !at.Before(begin) && other.at.Before(begin.Add(time.Second)) && other.at.Before(until) {
+			if !sent.of(other.id).Before(begin) && other.at.Before(begin.Add(time.Second)) && other.at.Before(until) {
 				count++
 			}
 		}
-		_ = i
 		most = max(most, count)
 	}
-	f.record.note("most requests in a second while cold: %d, allowed: %.2f", most, limit)
-	fmt.Println("most requests in a second while cold:", most, "allowed:", limit)
-	return float64(most) > limit
+	f.record.note("%s: most requests in a second while cold: %d, allowed: %.2f", e.id, most, limit)
+	if float64(most) > limit {
+		fmt.Printf("%s: %d requests in a second while cold, allowed: %.2f\n", e.id, most, limit)
+		return true
+	}
+	return false
 }
--- a/review/harness2/engine.go
+++ b/review/harness2/engine.go
@@ -14,18 +14,19 @@
 
 // engine is a sound backend server, unless serve is set.
 type engine struct {
-	fleet                           *fleet
-	id, service, zone, address, key string
-	slots                           int
-	server                          *http.Server
+	fleet                      *fleet
+	id, service, zone, address string
+	slots                      int
+	server                     *http.Server
 
 	mu        sync.Mutex
 	state     string
 	warmUntil time.Time
 	born      int64
 	sequence  int
-	stopped   bool
-	runs      []run
+	// boot counts the starts and the ends.
+	boot int
+	runs []run
 	// serve, unless nil, answers requests that are for this engine.
 	serve func(w http.ResponseWriter, r *http.Request)
 }
@@ -40,31 +41,41 @@
 
 func (f *fleet) newEngine(service, zone string, slots int) (*engine, error) {
 	ip := f.newIP()
-	e := &engine{fleet: f, id: fmt.Sprintf("i-%s-%d", service, f.nextHost), service: service, zone: zone, slots: slots, state: "ready"}
+	e := &engine{fleet: f, service: service, zone: zone, slots: slots, state: "ready"}
 	e.address = fmt.Sprintf("%s:%d", ip, portEngine)
-	e.born = time.Now().UnixMilli()
+	f.engines = append(f.engines, e)
+	return e, e.up(0)
+}
+
+// up starts the engine, as a new boot under a new id that is cold for some time.
+func (e *engine) up(cold time.Duration) error {
 	listener, err := net.Listen("tcp", e.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.boot++
+	e.id = fmt.Sprintf("i-%s-%s-%d", e.service, e.address, e.boot)
+	e.born, e.sequence, e.warmUntil = time.Now().UnixMilli(), 0, time.Now().Add(cold)
 	e.server = &http.Server{Handler: e}
-	go func() { _ = e.server.Serve(listener) }()
-	go e.sendBeats()
-	f.engines = append(f.engines, e)
-	return e, nil
+	go func(server *http.Server) { _ = server.Serve(listener) }(e.server)
+	go e.sendBeats(e.boot)
+	return nil
 }
 
-func (e *engine) stop() {
+// down ends the engine without a word.
+func (e *engine) down() {
 	e.mu.Lock()
-	e.stopped = true
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	e.boot++
 	_ = e.server.Close()
 }
 
-func (e *engine) sendBeats() {
+func (e *engine) sendBeats(boot int) {
 	for n := 0; ; n++ {
 		e.mu.Lock()
-		if e.stopped {
+		if e.boot != boot {
 			e.mu.Unlock()
 			return
 		}
@@ -87,14 +98,6 @@
 	}
 }
 
-// restart makes the engine a new boot under a new id that is cold for some time.
-func (e *engine) restart(cold time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.id += "r"
-	e.born, e.sequence, e.warmUntil = time.Now().UnixMilli(), 0, time.Now().Add(cold)
-}
-
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -246,7 +247,7 @@
 
 // startAll starts all processes with empty disks.
 func (f *fleet) startAll() error {
-	for _, p := range append(append([]*process{}, f.controls...), f.entries...) {
+	for _, p := range f.all() {
 		if err := p.start(true); err != nil {
 			return err
 		}
@@ -254,12 +255,17 @@
 	return nil
 }
 
+// all returns all processes.
+func (f *fleet) all() []*process {
+	return slices.Concat(f.controls, f.entries)
+}
+
 func (f *fleet) close() {
-	for _, p := range append(append([]*process{}, f.controls...), f.entries...) {
+	for _, p := range f.all() {
 		p.kill()
 	}
 	for _, e := range f.engines {
-		e.stop()
+		e.down()
 	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
