--- a/review/harness2/cold.go
+++ b/review/harness2/cold.go
@@ -32,7 +32,7 @@
 func serveStream(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := range 3 {
-		fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1) // fails only if the caller has disconnected
 		w.(http.Flusher).Flush()
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/review/harness2/engine.go
+++ b/review/harness2/engine.go
@@ -89,7 +89,7 @@
 		e.mu.Unlock()
 		for tries := range len(e.fleet.controls) {
 			control := e.fleet.controls[(n+tries)%len(e.fleet.controls)]
-			status, _, err := e.fleet.call(control, http.MethodPut, "/-/instances/"+id, body)
+			status, err := e.fleet.call(control, http.MethodPut, "/-/instances/"+id, body)
 			if err == nil && status/100 == 2 {
 				break
 			}
--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -233,18 +233,6 @@
 	<-exited
 }
 
-// hasEnded reports whether the process has ended.
-func (p *process) hasEnded() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	select {
-	case <-p.exited:
-		return true
-	default:
-		return false
-	}
-}
-
 // startAll starts all processes with empty disks.
 func (f *fleet) startAll() error {
 	for _, p := range f.all() {
@@ -285,7 +273,7 @@
 func (f *fleet) order(method, path string, body []byte) error {
 	deadline := time.Now().Add(20 * time.Second)
 	for n := 0; time.Now().Before(deadline); n++ {
-		status, _, err := f.call(f.controls[n%len(f.controls)], method, path, body)
+		status, err := f.call(f.controls[n%len(f.controls)], method, path, body)
 		if err == nil && status/100 == 2 {
 			f.record.note("operator: %s %s confirmed by %s", method, path, f.controls[n%len(f.controls)].name)
 			return nil
@@ -295,21 +283,22 @@
 	return fmt.Errorf("%s %s: not confirmed", method, path)
 }
 
-func (f *fleet) call(control *process, method, path string, body []byte) (int, []byte, error) {
+// call sends a call of the operator or of an engine to a control instance. It returns the status.
+func (f *fleet) call(control *process, method, path string, body []byte) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+control.control()+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, err
+		return 0, err
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := f.client.Do(request)
 	if err != nil {
-		return 0, nil, err
+		return 0, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	return response.StatusCode, text, err
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
 }
 
 // isReady reports whether an entry instance says that it is ready.
--- a/review/harness2/record.go
+++ b/review/harness2/record.go
@@ -28,7 +28,7 @@
 func (r *record) note(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
 func (r *record) close() {
