review: a region that is back serves by the definition that it had before

Cause: entry instances that have just started take the definition of their own region's control instance for the one in force, whatever its age.

--- a/review/harness2/engine.go
+++ b/review/harness2/engine.go
@@ -33,10 +33,10 @@
 
 // run is a request that an engine has begun to work on.
 type run struct {
-	at             time.Time
-	id, target     string
-	method, tenant string
-	service        string
+	at              time.Time
+	id, target      string
+	method, tenant  string
+	service, region string
 }
 
 func (f *fleet) newEngine(service, zone string, slots int) (*engine, error) {
@@ -110,7 +110,7 @@
 		return
 	}
 	e.mu.Lock()
-	e.runs = append(e.runs, run{at: time.Now(), id: id, target: r.RequestURI, method: r.Method, tenant: r.Header.Get("X-Tenant"), service: e.service})
+	e.runs = append(e.runs, run{at: time.Now(), id: id, target: r.RequestURI, method: r.Method, tenant: r.Header.Get("X-Tenant"), service: e.service, region: regionByZone[e.zone]})
 	e.mu.Unlock()
 	e.fleet.record.note("engine %s: runs %s %s %s", expected, id, r.Method, r.RequestURI)
 	w.Header().Set("X-Server-Stamp", "stamp."+id)
--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -42,6 +42,8 @@
 	name, role, zone, ip string
 	dir, settings        string
 	fleet                *fleet
+	// seeds, unless nil, are the addresses of the control instances that the process is told.
+	seeds []any
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -59,7 +61,9 @@
 	entries  []*process
 	engines  []*engine
 	client   *http.Client
-	nextHost int
+	// listeners are those of proxies.
+	listeners []net.Listener
+	nextHost  int
 }
 
 // newFleet prepares an installation with some entry instances in each zone. It starts none.
@@ -127,6 +131,9 @@
 	for _, control := range p.fleet.controls {
 		seeds = append(seeds, control.control())
 	}
+	if p.seeds != nil {
+		seeds = p.seeds
+	}
 	limits := map[string]any{"memory_mb": 284, "max_fds": 4100}
 	listen := map[string]any{"front": p.front(), "ready": p.ready()}
 	if p.role == "control" {
@@ -255,6 +262,9 @@
 	for _, e := range f.engines {
 		e.down()
 	}
+	for _, listener := range f.listeners {
+		_ = listener.Close()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
 	}
