--- a/review/harness2/cold.go
+++ b/review/harness2/cold.go
@@ -14,9 +14,9 @@
 	scenarios["cold"] = scenarioOf{playCold, map[string]int{lostZone: 13, "selatan-pgudang": 6, "sarawak-kch": 6}}
 }
 
-// Values of the rule FAILBACK, and of the case.
+// Values of the rule FAILBACK in the grown deployment, and of the case.
 const (
-	warmupPerSecond = 1.7
+	warmupPerSecond = 1.9
 	warmupOvershoot = 1.5
 	coldSlack       = 3
 	warmupTime      = 3 * time.Second
@@ -74,7 +74,7 @@
 		e.serve = serveStream
 		lost = append(lost, e)
 	}
-	if err := f.define(newDocument(7)); err != nil {
+	if err := f.define(grownDocument(7)); err != nil {
 		return false, err
 	}
 	if err := f.awaitReady(); err != nil {
@@ -133,6 +133,17 @@
 	return broken, nil
 }
 
+// grownDocument returns the desired state with the warm-up of the grown deployment.
+func grownDocument(version int) map[string]any {
+	document := newDocument(version)
+	for _, service := range document["services"].([]any) {
+		if service := service.(map[string]any); service["name"] == "llm" {
+			service["warmup_s"], service["warmup_per_s"] = warmupTime.Seconds(), warmupPerSecond
+		}
+	}
+	return document
+}
+
 // askOnAndOn has a client ask an entry instance for drafts, one after the other.
 func (f *fleet) askOnAndOn(entry *process, sent *sentTimes, stop <-chan struct{}) {
 	for {
--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -20,6 +20,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -64,6 +65,8 @@
 	// listeners are those of proxies.
 	listeners []net.Listener
 	nextHost  int
+	// closed means that no more processes are started.
+	closed atomic.Bool
 }
 
 // newFleet prepares an installation with some entry instances in each zone. It starts none.
@@ -206,12 +209,15 @@
 	defer func() { _ = log.Close() }()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.command = exec.Command(filepath.Join(p.fleet.binDir, "boragehead-"+p.role), "--settings", p.settings)
-	p.command.Stdout, p.command.Stderr, p.command.Dir = log, log, p.fleet.repo
-	if err := p.command.Start(); err != nil {
+	if p.fleet.closed.Load() {
+		return errors.New("the case has ended")
+	}
+	command := exec.Command(filepath.Join(p.fleet.binDir, "boragehead-"+p.role), "--settings", p.settings)
+	command.Stdout, command.Stderr, command.Dir = log, log, p.fleet.repo
+	if err := command.Start(); err != nil {
 		return err
 	}
-	p.exited = make(chan struct{})
+	p.command, p.exited = command, make(chan struct{})
 	go func(command *exec.Cmd, exited chan struct{}) {
 		_ = command.Wait()
 		close(exited)
@@ -255,7 +261,9 @@
 	return slices.Concat(f.controls, f.entries)
 }
 
+// close ends all processes.
 func (f *fleet) close() {
+	f.closed.Store(true)
 	for _, p := range f.all() {
 		p.kill()
 	}
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -7,10 +7,14 @@
 package main
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // scenario plays a case. It returns whether the rule was broken, or an error if the case
@@ -26,6 +30,9 @@
 	entries map[string]int
 }
 
+// timeLimit bounds a case.
+const timeLimit = 100 * time.Second
+
 var smallEntries = map[string]int{"utara-prai": 3, "selatan-pgudang": 2, "sarawak-kch": 2}
 
 func main() {
@@ -59,7 +66,26 @@
 		return 2
 	}
 	defer f.close()
-	broken, err := chosen.play(f, trouble)
+	type outcome struct {
+		broken bool
+		err    error
+	}
+	played := make(chan outcome, 1)
+	go func() {
+		broken, err := chosen.play(f, trouble)
+		played <- outcome{broken, err}
+	}()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
+	var broken bool
+	select {
+	case result := <-played:
+		broken, err = result.broken, result.err
+	case <-ended:
+		err = errors.New("ended by a signal")
+	case <-time.After(timeLimit):
+		err = fmt.Errorf("not played within %v", timeLimit)
+	}
 	switch {
 	case err != nil:
 		rec.note("the case could not run: %v", err)
