forwarder, placer: the predicted end of an output in log and metrics

A line of a request had the predicted wait, but not the predicted end, which decides whether a long output is refused. It now has predicted-end, token-time and the limit of the output, also for requests that are refused as overloaded, and the histogram output-predicted-over-observed compares predicted and observed times of complete streams.

No decision is changed.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -111,7 +111,7 @@
 	record := &out.call.record
 	record.attempts++
 	record.predictedWait, record.cachedTokens, record.usableServers = decision.PredictedWait, decision.CachedTokens, decision.UsableServers
-	record.slowdown = decision.Slowdown
+	record.predictedDuration, record.predictedTokenTime, record.slowdown = decision.PredictedDuration, decision.PredictedTokenTime, decision.Slowdown
 	if decision.Region != "" {
 		out.call.open.enter(phaseRelay)
 		record.relayRegion, record.server, record.serverVersion = decision.Region, "", ""
@@ -174,7 +174,7 @@
 // another region.
 func (f *Forwarder) giveUpUnplaced(ctx context.Context, out *callerResponse, decision placer.Decision) *Refusal {
 	out.call.record.usableServers = decision.UsableServers
-	out.call.record.predictedWait = decision.PredictedWait
+	out.call.record.predictedWait, out.call.record.predictedDuration, out.call.record.predictedTokenTime = decision.PredictedWait, decision.PredictedDuration, decision.PredictedTokenTime
 	if out.possibleRuns > 0 || out.streamStarted {
 		return f.giveUp(ctx, out)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -103,7 +103,9 @@
 	// relayRegion is the region that the call was last relayed to, if any.
 	relayRegion string
 	// predictedWait is the placer's prediction of the time to the first event.
-	predictedWait time.Duration
+	// predictedDuration is that of the time to the last event, and
+	// predictedTokenTime that of the time for a token of the output.
+	predictedWait, predictedDuration, predictedTokenTime time.Duration
 	// slowdown is the reported slowdown of the server in percent; 0 if it is not known.
 	slowdown      int32
 	cachedTokens  int64
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -94,8 +94,8 @@
 		"route", route, "workspace", workspace, "version", record.definitionVersion, "behind", record.behind, "unconfirmed", record.unconfirmed,
 		"bound", call.HomeRegionsOnly, "homes", call.HomeRegions, "relayed", call.Relayed, "server", record.server, "server-version", record.serverVersion,
 		"region", record.relayRegion, "usable", record.usableServers, "attempts", record.attempts,
-		"waited", record.waited, "predicted", record.predictedWait, "slowdown", record.slowdown, "cached", record.cachedTokens,
-		"prompt", call.Work.Prompt, "expected", call.Work.Expected, "first", record.timeToFirstByte, "took", took, "left", left,
+		"waited", record.waited, "predicted", record.predictedWait, "predicted-end", record.predictedDuration, "token-time", record.predictedTokenTime, "slowdown", record.slowdown, "cached", record.cachedTokens,
+		"prompt", call.Work.Prompt, "expected", call.Work.Expected, "limit", call.Work.Output, "first", record.timeToFirstByte, "took", took, "left", left,
 		"framing", record.received.framing, "bytes", record.received.bytes, "events", record.received.events,
 		"ended", record.connectionEnd, "level", record.level, "request-hash", quarantiner.HashName(call.fingerprint), "shared-parts", call.traits().PartNames(), "duplicates", record.received.duplicates, "unfinished", record.received.unfinishedBytes,
 		"retry-after", retryAfter, "left-out", leftOut)
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -84,9 +84,11 @@
 // placement.
 func (f *Forwarder) sendToServer(ctx context.Context, out *callerResponse, id uint64, decision placer.Decision) attemptResult {
 	started := time.Now()
+	firstByteAt := started
 	out.onFirstByte = func() {
 		f.fleet.RecordFirstEvent(id)
-		took := time.Since(started)
+		firstByteAt = time.Now()
+		took := firstByteAt.Sub(started)
 		f.metrics.Observe("server-first-byte", took)
 		if decision.PredictedFirstEvent > 0 && took > 0 {
 			f.metrics.ObserveRatio("first-event-predicted-over-observed", decision.Server.Service, decision.PredictedFirstEvent.Seconds()/took.Seconds())
@@ -103,11 +105,22 @@
 	}
 	if events := out.call.record.received.events; events > 0 && result == resultAnswered {
 		f.fleet.RecordOutput(id, events)
+		f.observeTokenTime(out.call, decision, events, time.Since(firstByteAt))
 	}
 	f.fleet.Finish(id, outcome)
 	return result
 }
 
+// observeTokenTime compares the predicted time for the output of a complete stream of some
+// events with the observed one, from the first event to the last.
+func (f *Forwarder) observeTokenTime(call *Call, decision placer.Decision, events int, took time.Duration) {
+	if call.Service.Engine == nil || decision.PredictedTokenTime <= 0 || events < 2 || took <= 0 {
+		return
+	}
+	predicted := decision.PredictedTokenTime.Seconds() * float64((events-1)*call.Service.Engine.EventTokens)
+	f.metrics.ObserveRatio("output-predicted-over-observed", decision.Server.Service, predicted/took.Seconds())
+}
+
 // roundTrip sends a call to a server and handles the response. It returns the
 // result for the call and the outcome for the placer.
 func (f *Forwarder) roundTrip(ctx context.Context, out *callerResponse, id uint64, decision placer.Decision) (attemptResult, placer.Outcome) {
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -153,6 +153,7 @@
 		option.wait += memoryFullPenalty
 	}
 	option.completion = option.wait + s.outputTime(now, request.Work)
+	option.tokenTime = s.outputTime(now, Work{Output: 1})
 	option.overrun = max(option.completion-request.Deadline.Sub(now), 0)
 	option.wait += option.overrun
 	return option
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -114,8 +114,11 @@
 	// and still meet its objective.
 	WaitUntil time.Time
 	// PredictedDuration is the predicted time to the last event. It is set only
-	// together with Server.
+	// together with Server, or with ReasonOverloaded.
 	PredictedDuration time.Duration
+	// PredictedTokenTime is the part of PredictedDuration that each token of the output
+	// takes. It is 0 for services without engines.
+	PredictedTokenTime time.Duration
 	// CachedTokens is how many tokens of the prompt are expected to be in the
 	// server's cache, those copied from CopySource included.
 	CachedTokens int64
@@ -316,6 +319,9 @@
 	// prefilled. completion is the predicted time to the last event.
 	ownPrefill time.Duration
 	completion time.Duration
+	// tokenTime is the predicted time for a token of the output; 0 if the service has no
+	// engines.
+	tokenTime time.Duration
 	// overrun is the part of the wait that stands for an end after the deadline.
 	overrun time.Duration
 	// distance is the part of the wait that the way to another region takes.
@@ -344,7 +350,7 @@
 	s.cache.insert(request.Work.Parts, s.cacheCapacity)
 	p.limits.Take(now, s.start().throttled(), request.isUrgent())
 	p.placementsByID[request.ID] = &placement{start: s.start(), load: load, placedAt: now, predictedWait: best.wait, timeFactor: s.timeFactor(now), slowdown: s.slowdowns.factor(now), speed: sample}
-	decision := Decision{Server: &s.Server, PredictedWait: best.wait, PredictedDuration: best.completion, CachedTokens: best.cachedTokens, UsableServers: best.usableServers}
+	decision := Decision{Server: &s.Server, PredictedWait: best.wait, PredictedDuration: best.completion, PredictedTokenTime: best.tokenTime, CachedTokens: best.cachedTokens, UsableServers: best.usableServers}
 	decision.PredictedFirstEvent = best.wait - best.overrun
 	decision.Slowdown, _ = s.slowdowns.newest.encode(now)
 	if best.copySource != nil {
--- a/internal/placer/refusal.go
+++ b/internal/placer/refusal.go
@@ -28,7 +28,7 @@
 // in the middle of it is only refused twice. It is spread by half, so that callers that
 // were refused in one moment do not come back in one.
 func (p *Placer) refuseOverloaded(now time.Time, request Request, best candidate, excess time.Duration) Decision {
-	decision := Decision{RefusalReason: ReasonOverloaded, PredictedWait: best.wait, RetryAfter: excess}
+	decision := Decision{RefusalReason: ReasonOverloaded, PredictedWait: best.wait, PredictedDuration: best.completion, PredictedTokenTime: best.tokenTime, RetryAfter: excess}
 	if !p.sharesOverflow(now, request) {
 		return decision
 	}
--- a/internal/placer/region.go
+++ b/internal/placer/region.go
@@ -74,7 +74,7 @@
 		overrun := max(completion-request.Deadline.Sub(now), 0)
 		wait += overrun
 		if !found || wait < best.wait || wait == best.wait && region < best.region {
-			best, found = candidate{region: region, wait: wait, ownPrefill: ownPrefill, completion: completion, overrun: overrun, distance: regionRoundTrip}, true
+			best, found = candidate{region: region, wait: wait, ownPrefill: ownPrefill, completion: completion, tokenTime: remote.MinTokenTime, overrun: overrun, distance: regionRoundTrip}, true
 		}
 	}
 	return best, found
