experimenter: long outputs are refused first when engines are lost

Cause: not yet known; the emulator showed none of what callers saw, since it took the size of a request from the limit of the output, which is the same for all requests of a kind, and no engine reported its slowdown.

--- a/internal/experimenter/experimenter_test.go
+++ b/internal/experimenter/experimenter_test.go
@@ -135,3 +135,19 @@
 		assert.Equal(t, r.loadFactor(after), want)
 	}
 }
+
+// TestLongOutputsAreRefusedFirst guards against predictions whose error grows with the output:
+// when engines were lost, nearly all requests with long outputs were refused, although many
+// would have ended in time. Whoever asks for much must be served at least half as often as
+// all requests of the same kind.
+func TestLongOutputsAreRefusedFirst(t *testing.T) {
+	results, err := Run(pattern(t, "shortage"), []string{PolicyPlacer}, []uint64{1, 2, 3}, 3)
+	assert.NilError(t, err)
+	served := func(g GroupResult) float64 { return float64(g.InTime+g.Late) / float64(g.Requests) }
+	for _, result := range results {
+		for i, size := range result.Sizes {
+			all := result.Kinds[i/2]
+			assert.Check(t, served(size) >= served(all)/2, "seed %d: of %s %.2f were served, of all %.2f", result.Seed, size.Name, served(size), served(all))
+		}
+	}
+}
--- a/internal/experimenter/generator.go
+++ b/internal/experimenter/generator.go
@@ -178,7 +178,7 @@
 }
 
 func (a arrival) cost() float64 {
-	return float64(a.promptTokens() + outputWeight*a.maxOutputTokens)
+	return float64(a.promptTokens() + outputWeight*a.outputTokens)
 }
 
 func (a arrival) promptTokens() int64 {
--- a/internal/experimenter/policy.go
+++ b/internal/experimenter/policy.go
@@ -16,6 +16,8 @@
 	SetServers(now time.Time, view *definer.View, servers []registrar.Server)
 	Place(now time.Time, request placer.Request) placer.Decision
 	RecordFirstEvent(now time.Time, id uint64)
+	RecordNotice(now time.Time, id uint64, said placer.Notice)
+	RecordOutput(now time.Time, id uint64, events int)
 	Finish(now time.Time, id uint64, outcome placer.Outcome)
 	FinishRelay(now time.Time, id uint64, accepted bool)
 	FullLoads(now time.Time) map[string]placer.Load
@@ -105,6 +107,10 @@
 
 func (b *baseline) RecordFirstEvent(time.Time, uint64) {}
 
+func (b *baseline) RecordNotice(time.Time, uint64, placer.Notice) {}
+
+func (b *baseline) RecordOutput(time.Time, uint64, int) {}
+
 func (b *baseline) Finish(_ time.Time, id uint64, _ placer.Outcome) {
 	name, known := b.serverByRequest[id]
 	if !known {
--- a/internal/experimenter/slowdown.go
+++ b/internal/experimenter/slowdown.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/boragehead/boragehead/internal/placer"
 )
 
 // Slowdowns describes engines that share their machines with other work. The time of
@@ -15,6 +17,8 @@
 	Share  float64       `yaml:"share" validate:"gt=0,lte=1"`
 	Factor float64       `yaml:"factor" validate:"gt=1"`
 	Period time.Duration `yaml:"period" validate:"gt=0"`
+	// Reported means that engines name their slowdown in each response.
+	Reported bool `yaml:"reported"`
 }
 
 // slowdownAt returns the factor of an engine at a time since the start, and when its
@@ -43,6 +47,15 @@
 	s.schedule(next-now, func() { s.updateSlowdown(e) })
 }
 
+// reportSlowdown reports the slowdown of an engine in the head of a response.
+func (s *simulation) reportSlowdown(e *engine, to Policy, id uint64) {
+	if s.pattern.Slowdowns == nil || !s.pattern.Slowdowns.Reported {
+		return
+	}
+	percent := int32(math.Round(e.Slowdown * 100))
+	to.RecordNotice(s.now, id, placer.Notice{Load: placer.ServerLoad{Reported: true, Slowdown: percent}})
+}
+
 // engineTime returns how much time at normal speed an engine has from a time since
 // the start until another. A step keeps the speed at which it began; therefore
 // longestStep is added for each change to a slower speed whose last faster step may
--- a/internal/experimenter/stream.go
+++ b/internal/experimenter/stream.go
@@ -14,6 +14,7 @@
 	attempt        *attempt
 	delay          time.Duration
 	firstEventSeen bool
+	events         int
 }
 
 func (s *simulation) addStream(at *attempt, e *engine, id uint64, delay time.Duration) {
@@ -64,11 +65,14 @@
 	}
 	at := st.attempt
 	s.schedule(st.delay, func() {
+		st.events++
 		if !st.firstEventSeen {
 			st.firstEventSeen = true
+			s.reportSlowdown(e, at.sender.policy, emitted.ID)
 			at.sender.policy.RecordFirstEvent(s.now, emitted.ID)
 		}
 		if emitted.Last {
+			at.sender.policy.RecordOutput(s.now, emitted.ID, st.events)
 			at.sender.policy.Finish(s.now, emitted.ID, placer.OutcomeAnswered)
 		}
 	})
