placer: long outputs were refused first when room was short

Cause: a threshold on a prediction whose error grows with the size. The expected length was taken as it is, though high estimates are mostly too high; the latency ratio of first events multiplied the time of outputs, too; and one server was reserved for long outputs, whatever their number. Fix: lengths are corrected by what was observed; the latency ratio of servers that report a slowdown only bounds how far they are believed; a third of the warm servers is reserved.

--- a/internal/estimator/line.go
+++ b/internal/estimator/line.go
@@ -32,8 +32,9 @@
 	// points are the newest samples, the next one at next.
 	points []point
 	next   int
-	// count counts all samples.
-	count int
+	// count counts all samples. The line is fitted from minCount on, or from MinSamples if
+	// that is 0.
+	count, minCount int
 	// fitted means that slope, which is positive, and intercept are known.
 	fitted           bool
 	slope, intercept float64
@@ -49,7 +50,7 @@
 	}
 	l.next = (l.next + 1) % window
 	l.count++
-	if l.count >= MinSamples && (l.count-MinSamples)%fitEvery == 0 {
+	if first := cmp.Or(l.minCount, MinSamples); l.count >= first && (l.count-first)%fitEvery == 0 {
 		l.fit()
 	}
 }
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,8 +11,8 @@
 )
 
 // Costs that are added to the wait when servers are compared, which decide among
-// servers that are all fast enough, and limits of the reserved server, which
-// keeps capacity free for long outputs.
+// servers that are all fast enough, and limits of the reserved servers, which
+// keep capacity free for long outputs.
 const (
 	// prefillCostPerToken is charged for a token that is computed again although
 	// another server has it cached, and copyCostPerToken for one that is copied from
@@ -28,17 +29,18 @@
 	interferenceWeight = 0.06
 	outputTimeWeight   = 0.06
 
-	// With more than reservedMaxRunning running requests the reserved server takes
+	// With more than reservedMaxRunning running requests a reserved server takes
 	// only requests that are expected to produce longOutput tokens or more. With
 	// more than reservedPrefillMaxRunning it takes none that has more than
 	// reservedMaxPrefill tokens to prefill.
 	reservedMaxRunning        = 28
-	reservedPrefillMaxRunning = 8
+	reservedPrefillMaxRunning = 12
 	reservedMaxPrefill        = 1500
 	longOutput                = 450
-	// minServersForReserve is the fewest servers of a service of which one is
-	// reserved.
+	// minServersForReserve is the fewest servers of a service of which some are
+	// reserved, and reservedShare the share that is: at least one.
 	minServersForReserve = 3
+	reservedShare        = 1.0 / 3
 )
 
 // comparisonBasis holds what all candidates for one request are compared by.
@@ -51,8 +53,8 @@
 	// of the prompt, which no server is known to have cached as a whole.
 	prefillTarget *server
 	sharedTokens  int64
-	// reserved, unless nil, is the server that keeps capacity for long outputs.
-	reserved *server
+	// reserved are the servers that keep capacity for long outputs.
+	reserved []*server
 	// waitFloor is the wait below which all waits count as equal.
 	waitFloor time.Duration
 }
@@ -60,7 +62,7 @@
 func (p *Placer) newComparisonBasis(now time.Time, request Request) comparisonBasis {
 	basis := comparisonBasis{waitFloor: time.Duration(float64(request.Objective.Sub(now)) * localWaitShare)}
 	if !p.sharesOverflow(now, request) { // headroom on all servers keeps none apart
-		basis.reserved = p.reservedServer(now, request.Service)
+		basis.reserved = p.reservedServers(now, request.Service)
 	}
 	basis.cacheHolder, basis.heldTokens = p.longestCached(now, request)
 	basis.prefillTarget, basis.sharedTokens = p.prefillTarget(now, request, basis.heldTokens)
@@ -82,8 +84,10 @@
 		}
 		count++
 		option := p.evaluate(now, s, request, basis)
-		if s == basis.reserved && !request.goesOn() && s.withheldFrom(request.Work, request.Work.Prompt-option.cachedTokens) {
-			fallback = option // used if no other server is eligible
+		if !request.goesOn() && slices.Contains(basis.reserved, s) && s.withheldFrom(request.Work, request.Work.Prompt-option.cachedTokens) {
+			if fallback.server == nil || option.betterThan(fallback, basis.waitFloor) {
+				fallback = option // used if no other server is eligible
+			}
 			continue
 		}
 		if best.server == nil || option.betterThan(best, basis.waitFloor) {
@@ -165,29 +169,28 @@
 	return time.Duration(interferenceWeight * float64(s.totalLoad().Running) * float64(s.prefillTime(uncached, 0)))
 }
 
-// reservedServer returns the server of a service that is given fewer prompts to
+// reservedServers returns the servers of a service that are given fewer prompts to
 // prefill than the others, so that long outputs can end in time while the other
-// servers carry the load. It returns nil if the service has too few warm servers
-// or no engines.
-func (p *Placer) reservedServer(now time.Time, service *definer.Service) *server {
-	var best *server
-	count := 0
+// servers carry the load: a share of those that are warm, which is the same for all
+// instances. It returns none if the service has too few of them or no engines.
+func (p *Placer) reservedServers(now time.Time, service *definer.Service) []*server {
+	if service.Engine == nil {
+		return nil
+	}
+	var warm []*server
 	for _, s := range p.serversByName {
-		if s.Service != service.Name || !p.usable(now, s) || s.cold(now) || p.isLimited(s) {
-			continue
-		}
-		count++
-		if best == nil || s.nameHash > best.nameHash {
-			best = s
+		if s.Service == service.Name && p.usable(now, s) && !s.cold(now) && !p.isLimited(s) {
+			warm = append(warm, s)
 		}
 	}
-	if service.Engine == nil || count < minServersForReserve {
+	if len(warm) < minServersForReserve {
 		return nil
 	}
-	return best
+	slices.SortFunc(warm, func(a, b *server) int { return cmp.Compare(b.nameHash, a.nameHash) })
+	return warm[:max(int(reservedShare*float64(len(warm))+0.5), 1)]
 }
 
-// withheldFrom reports whether s, as the reserved server, keeps its remaining
+// withheldFrom reports whether s, as a reserved server, keeps its remaining
 // capacity free of a request that has some uncached tokens to prefill.
 func (s *server) withheldFrom(work Work, uncached int64) bool {
 	running := s.totalLoad().Running
@@ -201,7 +204,7 @@
 // request while it also serves the running batch and prefills incoming prompts.
 func (s *server) outputTime(now time.Time, work Work) time.Duration {
 	step := s.stepTime(s.totalLoad().Running + 1)
-	return time.Duration(float64(work.expectedOutput()) * float64(step) / s.decodingShare(now) * s.timeFactor(now))
+	return time.Duration(float64(work.expectedOutput()) * float64(step) / s.decodingShare(now) * s.outputFactor(now))
 }
 
 // prefillUtilization returns the share of an engine's time that prefilling the
--- a/internal/placer/headroom.go
+++ b/internal/placer/headroom.go
@@ -34,6 +34,10 @@
 	urgency int
 }
 
+func kindOf(request Request) kindKey {
+	return kindKey{service: request.Service.Name, urgency: request.Urgency}
+}
+
 // kind is what is known of the requests of one kind.
 type kind struct {
 	// objective is the time to the first event that its route states.
@@ -50,7 +54,7 @@
 	if p.kinds == nil {
 		p.kinds = map[kindKey]kind{}
 	}
-	key := kindKey{service: request.Service.Name, urgency: request.Urgency}
+	key := kindOf(request)
 	objective := request.RouteObjective
 	if known, exists := p.kinds[key]; exists && now.Sub(known.lastSeen) <= kindTTL {
 		objective = min(objective, known.objective)
@@ -66,7 +70,7 @@
 
 // objectiveOf returns the objective of a request's kind.
 func (p *Placer) objectiveOf(request Request) time.Duration {
-	known, exists := p.kinds[kindKey{service: request.Service.Name, urgency: request.Urgency}]
+	known, exists := p.kinds[kindOf(request)]
 	if request.LocalOnly && exists {
 		return known.objective
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/boragehead/boragehead/internal/definer"
+	"github.com/boragehead/boragehead/internal/estimator"
 	"github.com/boragehead/boragehead/internal/overflower"
 	"github.com/boragehead/boragehead/internal/registrar"
 	"github.com/boragehead/boragehead/internal/throttler"
@@ -62,6 +63,10 @@
 	// instance, or in another region's part of this one. The request may wait for longer
 	// than a new one, since its first event was in time, but not without a limit.
 	TakesUp bool
+
+	// statedOutput is the length of the output that the caller expects, before it was
+	// corrected.
+	statedOutput int64
 }
 
 // goesOn reports whether the request goes on with a stream.
@@ -173,6 +178,8 @@
 	cacheFills []timedCacheFill
 	// speeds are the learned speeds of the services with engines, by service name.
 	speeds map[string]*serviceSpeed
+	// lengths are the learned lengths of outputs.
+	lengths map[kindKey]*estimator.Length
 }
 
 // placement is a request that was placed on a server and has not ended yet.
@@ -187,6 +194,9 @@
 	timeFactor, slowdown float64
 	// speed is what the speed of the service is learned from.
 	speed speedSample
+	kind  kindKey
+	// expectedOutput is the length of the output that the caller expects, in tokens.
+	expectedOutput int64
 }
 
 // remoteService is the last summary of a service that another region reported.
@@ -203,6 +213,7 @@
 // as load of that server until Finish is called with its ID.
 func (p *Placer) Place(now time.Time, request Request) Decision {
 	p.recordKind(now, request)
+	p.correctLength(&request)
 	local := p.bestLocal(now, request)
 	remote, found := p.bestRemote(now, request)
 	switch {
@@ -349,7 +360,7 @@
 	p.recordOwnCacheFill(now, s, request.Work.Parts)
 	s.cache.insert(request.Work.Parts, s.cacheCapacity)
 	p.limits.Take(now, s.start().throttled(), request.isUrgent())
-	p.placementsByID[request.ID] = &placement{start: s.start(), load: load, placedAt: now, predictedWait: best.wait, timeFactor: s.timeFactor(now), slowdown: s.slowdowns.factor(now), speed: sample}
+	p.placementsByID[request.ID] = &placement{start: s.start(), load: load, placedAt: now, predictedWait: best.wait, timeFactor: s.timeFactor(now), slowdown: s.slowdowns.factor(now), speed: sample, kind: kindOf(request), expectedOutput: request.statedOutput}
 	decision := Decision{Server: &s.Server, PredictedWait: best.wait, PredictedDuration: best.completion, PredictedTokenTime: best.tokenTime, CachedTokens: best.cachedTokens, UsableServers: best.usableServers}
 	decision.PredictedFirstEvent = best.wait - best.overrun
 	decision.Slowdown, _ = s.slowdowns.newest.encode(now)
@@ -371,6 +382,7 @@
 		s.ownLoad.PrefillTokens -= placed.load.PrefillTokens
 		s.loadChanged = true
 		s.recordFirstEvent(now, placed)
+		p.updateSpeed(s.Service)
 	}
 	placed.load.PrefillTokens = 0
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -378,7 +378,7 @@
 			p := newPlacer(4)
 			request := shortPromptRequest(start, 400)
 			request.Resuming = c.started
-			reserved := p.reservedServer(start, request.Service)
+			reserved := p.reservedServers(start, request.Service)[0]
 			for name, s := range p.serversByName {
 				s.peerLoad = c.othersLoad
 				if c.onlyReserved && name != reserved.Name {
--- a/internal/placer/refusal.go
+++ b/internal/placer/refusal.go
@@ -35,7 +35,7 @@
 	if _, held := p.headroomBound(now, request); held && !request.LocalOnly {
 		decision.WaitUntil = now.Add(time.Duration(float64(request.Objective.Sub(now)) * waitingShare))
 	}
-	key := kindKey{service: request.Service.Name, urgency: request.Urgency}
+	key := kindOf(request)
 	current := p.refusals[key]
 	if now.Sub(current.lastRefusal) > overloadPause {
 		current.since = now
--- a/internal/placer/speed.go
+++ b/internal/placer/speed.go
@@ -17,6 +17,8 @@
 	learned bool
 	prefill estimator.Prefill
 	step    estimator.Step
+	// latencyRatio is the mean of the servers that report their slowdown; 0 if none does.
+	latencyRatio float64
 }
 
 // speedSample is what is learned from a placement.
@@ -97,14 +99,18 @@
 
 // RecordOutput records that the response to a placed request was a stream of some events,
 // the last of which has just arrived. It must be called before Finish, and teaches the speed
-// of the service. It ignores unknown IDs and requests whose first event is not recorded.
+// of the service and the length of such outputs. It ignores unknown IDs and requests whose first event is not recorded.
 func (p *Placer) RecordOutput(now time.Time, id uint64, events int) {
 	placed, known := p.placementsByID[id]
-	if !known || !placed.firstEventSeen || !placed.speed.usable || events <= 0 {
+	if !known || !placed.firstEventSeen || events <= 0 {
 		return
 	}
 	s, listed := p.serversByName[placed.start.name]
-	if !listed || s.start() != placed.start || s.speed == nil || !s.speed.reports || !s.slowdowns.reports {
+	if !listed || s.start() != placed.start || s.speed == nil {
+		return
+	}
+	p.recordLength(placed, int64(events)*s.eventTokens)
+	if !placed.speed.usable || !s.speed.reports || !s.slowdowns.reports {
 		return
 	}
 	sample := &placed.speed
@@ -174,9 +180,14 @@
 		return
 	}
 	speed.reports = false
+	sum, count := 0.0, 0
 	for _, s := range p.serversByName {
-		speed.reports = speed.reports || s.Service == service && s.slowdowns.reports
+		if s.Service == service && s.slowdowns.reports {
+			speed.reports = true
+			sum, count = sum+s.latencyRatio, count+1
+		}
 	}
+	speed.latencyRatio = sum / float64(max(count, 1))
 	prefill, learned := speed.model.Prefill()
 	learned = learned && speed.reports
 	speed.prefill, speed.step = prefill, speed.model.Step(assumedStep)
