experimenter: callers of cut-off instances are refused

Change: patterns may cut entry instances off from all engines, refused or silent; first attempts meanwhile are counted at them and elsewhere.

--- a/internal/experimenter/caller.go
+++ b/internal/experimenter/caller.go
@@ -41,6 +41,9 @@
 	longestGap time.Duration
 	outcome    outcome
 	copySource *engine
+	// partitioned means that the first attempt was sent during a partition, and firstCutOff
+	// that it was to an instance that was cut off.
+	partitioned, firstCutOff bool
 }
 
 // outcome says how a call ended.
@@ -66,6 +69,9 @@
 	r := s.regions[c.regionIndex]
 	at := &attempt{call: c, entry: r.entries[s.random.IntN(len(r.entries))], deadline: c.deadline}
 	c.attempts++
+	if c.attempts == 1 {
+		c.partitioned, c.firstCutOff = s.partitions > 0, at.entry.cutOff
+	}
 	s.lastID++
 	at.id = s.lastID
 	s.runningAttempts[at.id] = at
@@ -141,11 +147,24 @@
 	}
 	at.relayed, at.relayID = true, id
 	remote := s.regionByName(decision.Region)
+	if remote == entry.region {
+		s.schedule(s.pattern.Network.BetweenDomains, func() { s.place(at, remote.entryByName(decision.Instance)) })
+		return
+	}
 	s.schedule(s.pattern.Network.BetweenRegions, func() {
 		s.place(at, remote.entries[s.random.IntN(len(remote.entries))])
 	})
 }
 
+func (r *region) entryByName(name string) *entryInstance {
+	for _, entry := range r.entries {
+		if entry.name == name {
+			return entry
+		}
+	}
+	return nil
+}
+
 func (s *simulation) regionByName(name string) *region {
 	for _, r := range s.regions {
 		if r.Name == name {
@@ -206,12 +225,12 @@
 			entry.policy.Finish(s.now, id, placer.OutcomeAbandoned)
 			return
 		}
-		if e.down || !e.Submit(s.now, s.newJob(at, id, e)) {
+		if entry.cutOff || e.down || !e.Submit(s.now, s.newJob(at, id, e)) {
 			outcome := placer.OutcomeDeclined
-			if e.down {
+			if entry.cutOff || e.down {
 				outcome = placer.OutcomeUnreachable
 			}
-			s.schedule(delay, func() {
+			s.schedule(entry.connectDelay(delay), func() {
 				entry.policy.Finish(s.now, id, outcome)
 				s.place(at, entry)
 			})
--- a/internal/experimenter/pattern.go
+++ b/internal/experimenter/pattern.go
@@ -17,6 +17,8 @@
 	Kinds    []RequestKind `yaml:"kinds" validate:"min=1,unique=Name,dive"`
 	// Outages take engines down for a time.
 	Outages []Outage `yaml:"outages" validate:"dive"`
+	// Partitions cut entry instances off from all engines.
+	Partitions []Partition `yaml:"partitions" validate:"dive"`
 	// Bursts multiply the rate of one kind for a time.
 	Bursts []Burst `yaml:"bursts" validate:"dive"`
 	// Slowdowns, unless nil, slow engines down for short times.
--- a/internal/experimenter/simulation.go
+++ b/internal/experimenter/simulation.go
@@ -38,6 +38,8 @@
 	view            *definer.View
 	tally           *tally
 	runningAttempts map[uint64]*attempt
+	// partitions is the number of partitions in which first attempts are counted now.
+	partitions int
 }
 
 // region is one region of a simulation with its entry instances and engines.
@@ -64,6 +66,8 @@
 	policy  Policy
 	region  *region
 	waiting waitingRoom
+	// cutOff means that it reaches no engine, and silent that connections then hang.
+	cutOff, silent bool
 	location
 }
 
@@ -185,6 +189,15 @@
 	for _, name := range slices.Sorted(maps.Keys(s.enginesByName)) {
 		s.updateSlowdown(s.enginesByName[name])
 	}
+	for _, r := range s.regions {
+		for _, entry := range r.entries {
+			s.probe(entry)
+		}
+		s.tellReachability(r)
+	}
+	for _, partition := range s.pattern.Partitions {
+		s.schedulePartition(partition)
+	}
 	for _, outage := range s.pattern.Outages {
 		s.schedule(outage.At, func() { s.startOutage(outage) })
 	}
--- a/internal/experimenter/tally.go
+++ b/internal/experimenter/tally.go
@@ -28,6 +28,8 @@
 	RepeatedShare float64 `json:"repeated"`
 	// Preemptions counts how often a running request lost its memory on an engine.
 	Preemptions int `json:"preempted"`
+	// Partitions counts first attempts during partitions.
+	Partitions PartitionResult `json:"partitions"`
 }
 
 // GroupResult is the outcome of a group of requests. Requests counts all of them;
@@ -134,6 +136,7 @@
 	workspaces []*group
 	// sizeBounds holds, for each kind, the lowest weights of the two groups in sizes.
 	sizeBounds [][2]float64
+	partitions PartitionResult
 }
 
 // The fractions of a kind's requests above the two size bounds.
@@ -182,6 +185,7 @@
 }
 
 func (t *tally) record(c *call) {
+	t.countFirst(c)
 	window := t.pattern.windowOf(c.startedAt.Sub(epoch))
 	for _, g := range []*group{t.all, t.kinds[c.kindIndex], t.regions[c.regionIndex], t.windows[window]} {
 		g.record(c)
@@ -209,7 +213,7 @@
 	result := Result{
 		Policy: policy, Seed: seed, Worth: t.all.result().Worth,
 		Kinds: append(groupResults(t.kinds), t.all.result()), Regions: groupResults(t.regions), Windows: groupResults(t.windows),
-		Workspaces: groupResults(t.workspaces),
+		Workspaces: groupResults(t.workspaces), Partitions: t.partitions,
 	}
 	for _, sizes := range t.sizes {
 		result.Sizes = append(result.Sizes, groupResults(sizes[:])...)
