placer, follower: callers of instances that reach no server are refused

Cause: every path of the instance fails at once, and it blames the servers one by one. Half of them stay in use, the last is readmitted, other regions relay to it, attempts without a connection are charged to the retry budget, and prompts are taken to have crashed the servers. Fix: when requests to two servers fail the instance probes some. If it reaches none it is cut off: no server is blamed, its requests are handed over to an instance of the region that is not cut off, and it is no relay, representative or owner of a warm-up. Servers that cannot be reached are tried by probes, not by requests.

--- a/internal/beaconer/beaconer.go
+++ b/internal/beaconer/beaconer.go
@@ -44,6 +44,8 @@
 	// DefinitionVersion is the version that the instance has in force; 0 if it has
 	// none.
 	DefinitionVersion uint64 `cbor:"b,omitempty"`
+	// CutOff means that the sender reaches no backend server of its region.
+	CutOff bool `cbor:"j,omitempty"`
 	// QuotaSpent is what the instance has spent of each workspace's quota since it
 	// started, by workspace name.
 	QuotaSpent map[string]float64 `cbor:"x,omitempty"`
--- a/internal/beaconer/digest.go
+++ b/internal/beaconer/digest.go
@@ -25,6 +25,8 @@
 	// Members are the states of the instances that the sender has heard lately, by
 	// [NameHash].
 	Members map[uint32]State `cbor:"m,omitempty"`
+	// CutOff has the members, by [NameHash], that reach no server of their region.
+	CutOff map[uint32]bool `cbor:"o,omitempty"`
 	// QuotaSpent and QuotaLeft are as in a beacon, the former summed over all instances.
 	QuotaSpent map[string]float64 `cbor:"x,omitempty"`
 	QuotaLeft  map[string]float64 `cbor:"e,omitempty"`
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -43,6 +43,16 @@
 	RecordSoundBegin(began time.Time, server registrar.Server, traits quarantiner.Traits)
 }
 
+// Reach tells whether this instance reaches servers. Its methods must be safe for
+// concurrent use.
+type Reach interface {
+	// ReachesOther reports whether a connection can be opened to another server of this
+	// region.
+	ReachesOther(than registrar.Server) bool
+	// AnnouncedSince reports whether a start of a server has announced itself since a time.
+	AnnouncedSince(server registrar.Server, since time.Time) bool
+}
+
 // Metrics receives the detector's counters. It must be safe for concurrent use.
 type Metrics interface {
 	// Count adds one to a counter.
@@ -55,6 +65,8 @@
 type Detector struct {
 	Quarantine Quarantine
 	Metrics    Metrics
+	// Reach, unless nil, is asked before a server is taken to have ended.
+	Reach Reach
 
 	mu sync.Mutex
 	// byStart holds the servers that broke off connections.
@@ -138,6 +150,9 @@
 // check finds out whether a server has ended.
 func (d *Detector) check(id quarantiner.CrashID, crash *possibleCrash, first *Begin) {
 	sign := signOfEnd(first.server.Address)
+	if sign != signNone && d.isCutOff(first.server, crash.brokeAt) {
+		sign = signNone
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if sign == signNone || sign == signResets && d.mayBeFull(id, crash) {
@@ -155,6 +170,19 @@
 	crash.confirmed, crash.pending = true, nil
 }
 
+// announcementTime is the time in which a server that has not ended announces itself.
+const announcementTime = 2500 * time.Millisecond
+
+// isCutOff reports whether a server that connections cannot be opened to goes on: this
+// instance reaches no other one either, and the server announces itself.
+func (d *Detector) isCutOff(server registrar.Server, brokeAt time.Time) bool {
+	if d.Reach == nil || d.Reach.ReachesOther(server) {
+		return false
+	}
+	time.Sleep(announcementTime)
+	return d.Reach.AnnouncedSince(server, brokeAt)
+}
+
 // minWorkTime is how long a request must have been at a server that resets
 // connections to show that the server did more than turn it away.
 const minWorkTime = 100 * time.Millisecond
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -4,9 +4,14 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/boragehead/boragehead/internal/quarantiner"
+	"github.com/boragehead/boragehead/internal/registrar"
 )
 
 // TestSignOfEnd tries addresses where no server answers any more, and such where
@@ -73,3 +78,49 @@
 		})
 	}
 }
+
+// crashCounter is a Quarantine that counts crashes, and a Reach with fixed answers.
+type crashCounter struct {
+	crashes            atomic.Int32
+	reaches, announced bool
+}
+
+func (c *crashCounter) RecordCrash(time.Time, registrar.Server, quarantiner.Traits) { c.crashes.Add(1) }
+
+func (*crashCounter) RecordSoundBegin(time.Time, registrar.Server, quarantiner.Traits) {}
+
+func (*crashCounter) Count(string) {}
+
+func (c *crashCounter) ReachesOther(registrar.Server) bool { return c.reaches }
+
+func (c *crashCounter) AnnouncedSince(registrar.Server, time.Time) bool { return c.announced }
+
+// TestPromptsAreBlamedForCut guards against requests that are taken to crash servers because
+// the instance is cut off from all of them, and against servers that all crash and are taken
+// to be cut off.
+func TestPromptsAreBlamedForCut(t *testing.T) {
+	cases := []struct {
+		name               string
+		reaches, announced bool
+		want               int32
+	}{
+		{"server ended", true, false, 1},
+		{"server ended, not known yet", true, true, 1},
+		{"instance cut off", false, true, 0},
+		{"all servers ended", false, false, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			nobody, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			assert.NilError(t, nobody.Close())
+			server := registrar.Server{Name: "a", StartedAtMillis: 1, Address: netip.MustParseAddrPort(nobody.Addr().String())}
+			counter := &crashCounter{reaches: c.reaches, announced: c.announced}
+			d := &Detector{Quarantine: counter, Metrics: counter, Reach: counter}
+			d.Finish(d.Observe(server, quarantiner.Traits{Request: 1}), false, false, EndedByReset)
+			time.Sleep(announcementTime + 500*time.Millisecond)
+			assert.Equal(t, counter.crashes.Load(), c.want)
+		})
+	}
+}
--- a/internal/follower/beacons.go
+++ b/internal/follower/beacons.go
@@ -106,7 +106,7 @@
 	f.beaconSequence++
 	now := time.Now()
 	f.removeSilentInstances(now)
-	base := beaconer.Beacon{Instance: f.self, State: f.lifecycle, Sequence: f.beaconSequence, DefinitionVersion: uint64(f.definitionVersion)}
+	base := beaconer.Beacon{Instance: f.self, State: f.lifecycle, Sequence: f.beaconSequence, DefinitionVersion: uint64(f.definitionVersion), CutOff: f.placer.CutOff()}
 	outgoing := []outgoingBeacon{f.controlBeacon(toAll, base)}
 	if f.isLargeFleet() {
 		return append(outgoing, f.perDomainBeacons(now, toAll, base)...)
@@ -227,7 +227,7 @@
 	if beacon.Name == f.self.Name {
 		return
 	}
-	f.otherInstances[beacon.Name] = entryInstance{Instance: beacon.Instance, state: beacon.State, lastHeard: now}
+	f.otherInstances[beacon.Name] = entryInstance{Instance: beacon.Instance, state: beacon.State, lastHeard: now, cutOff: beacon.CutOff}
 	f.noteVersion(now, definer.Version(beacon.DefinitionVersion), false)
 	if beacon.Region == f.self.Region {
 		f.placer.RecordLimits(now, beacon.Limits)
@@ -237,7 +237,7 @@
 		return
 	}
 	sameDomain := beacon.FailureDomain == f.self.FailureDomain
-	if sameDomain {
+	if sameDomain && !beacon.CutOff {
 		f.placer.RecordNeighbour(now, beacon.Name)
 	}
 	if beacon.Digest != nil {
@@ -269,7 +269,7 @@
 		f.placer.AddCacheFills(now, sameDomain, beacon.CacheFills)
 		return
 	}
-	if beacon.State == beaconer.StateReady {
+	if beacon.State == beaconer.StateReady && f.tellsServices(now, beacon) {
 		f.placer.SetRegionServices(now, beacon.Region, beacon.Services)
 	}
 }
--- a/internal/follower/collect.go
+++ b/internal/follower/collect.go
@@ -96,7 +96,7 @@
 	digest := f.ownDomain.digests.digest(f.placer.DomainLoads(now), complete)
 	limitsSince := limitRepeats * collectEvery * beaconInterval
 	if complete {
-		digest.Members = f.neighbourStates(now)
+		digest.Members, digest.CutOff = f.neighbourStates(now)
 		digest.QuotaSpent, digest.QuotaLeft = f.domainSpending(f.quotas.Spent()), f.quotas.Levels()
 		limitsSince = 0
 	}
@@ -107,20 +107,24 @@
 }
 
 // neighbourStates returns the states of the instances of this failure domain that were
-// heard lately, and forgets the reports of the others. f.mu must be held.
-func (f *Follower) neighbourStates(now time.Time) map[uint32]beaconer.State {
-	states := map[uint32]beaconer.State{}
+// heard lately, and which of them are cut off, and forgets the reports of the others. f.mu
+// must be held.
+func (f *Follower) neighbourStates(now time.Time) (states map[uint32]beaconer.State, cutOff map[uint32]bool) {
+	states, cutOff = map[uint32]beaconer.State{}, map[uint32]bool{}
 	for name, other := range f.otherInstances {
 		if other.FailureDomain != f.self.FailureDomain {
 			continue
 		}
 		if now.Sub(other.lastHeard) < representativeTimeout {
 			states[beaconer.NameHash(name)] = other.state
+			if other.cutOff {
+				cutOff[beaconer.NameHash(name)] = true
+			}
 			continue
 		}
 		delete(f.ownDomain.digests.included, name)
 	}
-	return states
+	return states, cutOff
 }
 
 // spreadBeacon returns a beacon for all instances of this failure domain: those heard
@@ -189,9 +193,14 @@
 			continue
 		}
 		count++
-		other.state, other.lastHeard = state, now
+		other.state, other.lastHeard, other.cutOff = state, now, beacon.Digest.CutOff[beaconer.NameHash(name)]
+		if name == beacon.Name {
+			other.cutOff = beacon.CutOff
+		}
 		f.otherInstances[name] = other
-		f.placer.RecordNeighbour(now, name)
+		if !other.cutOff {
+			f.placer.RecordNeighbour(now, name)
+		}
 	}
 	spent, known := f.digestsHeard.otherSpending(beacon.Digest.QuotaSpent)
 	if !known {
--- a/internal/follower/domains.go
+++ b/internal/follower/domains.go
@@ -110,21 +110,22 @@
 }
 
 // representative returns the other instance that represents this failure domain: the
-// ready one whose name has the lowest hash among those heard there. It reports false if
+// ready one whose name has the lowest hash among those heard there, and among those that reach
+// servers unless none does. It reports false if
 // that is this instance, or none. f.mu must be held.
 func (f *Follower) representative(now time.Time) (entryInstance, bool) {
 	var best entryInstance
-	lowest, found := xxhash.Sum64String(f.self.Name), false
+	lowest, cutOff, found := xxhash.Sum64String(f.self.Name), f.placer.CutOff(), false
 	if f.lifecycle != beaconer.StateReady {
-		lowest = math.MaxUint64
+		lowest, cutOff = math.MaxUint64, true
 	}
 	for name, other := range f.otherInstances {
 		candidate := other.FailureDomain == f.self.FailureDomain && other.state == beaconer.StateReady
-		if !candidate || now.Sub(other.lastHeard) >= representativeTimeout {
+		if !candidate || now.Sub(other.lastHeard) >= representativeTimeout || other.cutOff && !cutOff {
 			continue
 		}
-		if hash := xxhash.Sum64String(name); hash < lowest {
-			best, lowest, found = other, hash, true
+		if hash := xxhash.Sum64String(name); hash < lowest || cutOff && !other.cutOff {
+			best, lowest, cutOff, found = other, hash, other.cutOff, true
 		}
 	}
 	return best, found
@@ -155,12 +156,15 @@
 // domain. f.mu must be held.
 func (f *Follower) aggregateBeacon(now time.Time, beacon beaconer.Beacon) beaconer.Beacon {
 	spent := f.domainSpending(beacon.QuotaSpent)
-	relays := []netip.AddrPort{f.self.RelayAddress}
+	var relays []netip.AddrPort
+	if !f.placer.CutOff() {
+		relays = append(relays, f.self.RelayAddress)
+	}
 	count := 1
 	for _, other := range f.otherInstances {
 		if other.FailureDomain == f.self.FailureDomain && now.Sub(other.lastHeard) < instanceTimeout {
 			count++
-			if other.state == beaconer.StateReady {
+			if other.state == beaconer.StateReady && !other.cutOff {
 				relays = append(relays, other.RelayAddress)
 			}
 		}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -174,11 +174,13 @@
 	beaconer.Instance
 	state     beaconer.State
 	lastHeard time.Time
+	// cutOff means that it reaches no server of its region.
+	cutOff bool
 }
 
 // New returns a follower that knows only its settings. Decode reads the
-// documents of definitions. The follower does nothing until Run, SendBeacons
-// and ReceiveBeacons are called.
+// documents of definitions. The follower does nothing until Run, SendBeacons,
+// ReceiveBeacons and ProbeServers are called.
 func New(settings loader.Entry, decode controller.Decoder, client *messenger.Client, socket *beaconer.Socket) *Follower {
 	f := &Follower{
 		settings: settings, decode: decode, client: client, beaconSocket: socket,
@@ -360,10 +362,19 @@
 		other, known := f.otherInstances[instance]
 		return other.RelayAddress, known && other.Region == region && other.state != beaconer.StateStopping
 	}
+	addresses := f.relayAddresses(time.Now(), region)
+	if len(addresses) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return addresses[rand.IntN(len(addresses))], true
+}
+
+// relayAddresses returns the relay addresses of the ready entry instances of a region that
+// were heard lately, except for those that are cut off from its servers. f.mu must be held.
+func (f *Follower) relayAddresses(now time.Time, region string) []netip.AddrPort {
 	var addresses []netip.AddrPort
-	now := time.Now()
 	for _, other := range f.otherInstances {
-		if other.Region == region && other.state == beaconer.StateReady && now.Sub(other.lastHeard) < instanceTimeout {
+		if other.Region == region && other.state == beaconer.StateReady && !other.cutOff && now.Sub(other.lastHeard) < instanceTimeout {
 			addresses = append(addresses, other.RelayAddress)
 		}
 	}
@@ -372,8 +383,5 @@
 			addresses = append(addresses, domain.Relays...)
 		}
 	}
-	if len(addresses) == 0 {
-		return netip.AddrPort{}, false
-	}
-	return addresses[rand.IntN(len(addresses))], true
+	return addresses
 }
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -74,6 +74,7 @@
 	}
 	f.placer.RegionInstances = f.countRegionInstances(now)
 	f.updateRegionMembers(now)
+	f.updateHandover(now)
 	if merged := f.mergeInputs(now); merged != f.merged {
 		f.mergeServerReports(now)
 	} else {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -59,7 +59,7 @@
 			}
 		}
 		request.ID = f.lastPlacementID.Add(1)
-		request.Resuming, request.Work = out.streamStarted, out.remainingWork()
+		request.Resuming, request.Work, request.UnreachedServers = out.streamStarted, out.remainingWork(), out.unreachedServers
 		var decision placer.Decision
 		f.waitWhileStarting(ctx, func() bool {
 			decision = f.placeAtVersion(out, &request)
@@ -124,7 +124,6 @@
 		record.note = "caller disconnected"
 		return resultPartial
 	}
-	out.offeredToServer = true
 	out.attemptVersion = f.currentVersion(decision)
 	result := f.sendToServer(ctx, out, id, decision)
 	out.stateRuns(out.possibleRuns) // one less if the server declined
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -111,6 +111,8 @@
 	cachedTokens  int64
 	usableServers int
 	attempts      int
+	// offered is the number of servers that the request was sent to.
+	offered int
 	// waited is how long the call waited for a placement.
 	waited time.Duration
 	// timeToFirstByte is measured from the call's arrival; 0 until then.
--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -60,8 +60,10 @@
 	// statedRuns is the count of servers that the second instance of a relay has stated
 	// last. Both instances keep it.
 	statedRuns int
-	// offeredToServer means that at least one server was offered the request.
-	// Only then does another attempt count as a retry.
+	// unreachedServers is the number of servers that the request could not be connected to.
+	unreachedServers int
+	// offeredToServer means that the request was sent to at least one server, whether it
+	// arrived or not. Only then does another attempt count as a retry.
 	offeredToServer bool
 	// homesMoved means that another region has refused the request by a newer
 	// definition than the one here.
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -29,6 +29,12 @@
 	f.quarantine, f.crashes.Quarantine = q, q
 }
 
+// UseReach makes the forwarder ask whether this instance is cut off from all servers before
+// it takes one to have crashed. It must be called before the first request.
+func (f *Forwarder) UseReach(reach detector.Reach) {
+	f.crashes.Reach = reach
+}
+
 // reasonQuarantined is the reason of refusals because of a quarantined request or part.
 const reasonQuarantined = "quarantined"
 
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -30,7 +30,7 @@
 	headerOutcome = "Boragehead-Outcome"
 	// headerRan is the number of servers that may have run the request in the
 	// second instance's region until the head of the response (see stateRuns), and
-	// headerOffered the number of attempts made at servers there.
+	// headerOffered the number of servers there that the request was sent to.
 	headerRan     = "Boragehead-Ran"
 	headerOffered = "Boragehead-Offered"
 	// headerRetryAfter is how long a request that the second instance refused
@@ -226,7 +226,7 @@
 		outcome = outcomeUnknown
 	}
 	w.Header().Set(headerRan, strconv.Itoa(refusal.PossibleRuns))
-	w.Header().Set(headerOffered, strconv.Itoa(call.record.attempts))
+	w.Header().Set(headerOffered, strconv.Itoa(call.record.offered))
 	w.Header().Set(headerRetryAfter, refusal.RetryAfter.String())
 	w.Header().Set(headerReason, refusal.Reason)
 	w.Header().Set(headerOutcome, outcome)
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -144,13 +144,18 @@
 	if err != nil {
 		call.record.note = err.Error()
 		if !match.Connected() {
+			out.unreachedServers++
 			return resultDeclined, placer.OutcomeUnreachable
 		}
+		call.record.offered++
+		out.offeredToServer = true
 		out.possibleRuns++
 		out.breakCause = err
 		return resultUnknown, placer.OutcomeFailed
 	}
 	defer func() { _ = response.Body.Close() }()
+	call.record.offered++
+	out.offeredToServer = true
 	if info := f.dialect.DecodeResponse(response); info.ID == call.ID && !match.Repeated() {
 		f.recordNotice(id, server.Name, info)
 	}
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -62,9 +62,11 @@
 	e.forwarder.UseRequestMemory(resources.Memory)
 	e.forwarder.UseQuarantine(e.follower)
 	e.forwarder.UseOrigins(e.follower)
+	e.forwarder.UseReach(e.follower)
 	actors.Add("follower", e.follower.Run)
 	actors.Add("evidence", e.follower.ReportEvidence)
 	actors.Add("origins", e.follower.ReportOrigins)
+	actors.Add("probes", e.follower.ProbeServers)
 	actors.Add("beacons", e.follower.SendBeacons)
 	actors.Add("beacon-port", e.follower.ReceiveBeacons)
 	actors.Add("reloader", settingsReloader[loader.Entry]{path: path, hangups: actors.Hangups(), apply: func(next loader.Entry) {
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -73,7 +73,7 @@
 // cost. The result has no server if none is eligible.
 func (p *Placer) bestLocal(now time.Time, request Request) candidate {
 	var best, fallback candidate
-	if !request.mayRunIn(p.Region) {
+	if !request.mayRunIn(p.Region) || !p.reaches(request) && !p.handsOver(request) {
 		return best
 	}
 	basis := p.newComparisonBasis(now, request)
--- a/internal/placer/health.go
+++ b/internal/placer/health.go
@@ -18,6 +18,10 @@
 	ejectedUntil    time.Time
 	// unreachable means that the last request could not be sent.
 	unreachable bool
+	// nextProbe is when a server that cannot be reached is probed again, and probeInterval
+	// the time between the last two probes.
+	nextProbe     time.Time
+	probeInterval time.Duration
 	// ejectedByPeers means that several instances of this failure domain have ejected
 	// the server.
 	ejectedByPeers bool
@@ -169,6 +173,16 @@
 	}
 }
 
+// hasOtherInUse reports whether another server of the service is in use.
+func (p *Placer) hasOtherInUse(now time.Time, than *server) bool {
+	for _, s := range p.serversByName {
+		if s != than && s.Service == than.Service && p.isInUse(s) && !s.ejected(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayEject reports whether enough servers of the service are left if a failing one
 // is ejected. Those that have named limits cannot take its load.
 func (p *Placer) mayEject(now time.Time, failing *server) bool {
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -97,7 +97,7 @@
 func (p *Placer) placeByLimits(now time.Time, request Request) (decision Decision, limited bool) {
 	service := request.Service.Name
 	refusal := Decision{RefusalReason: ReasonServerLimit}
-	if request.mayRunIn(p.Region) {
+	if request.mayRunIn(p.Region) && !p.reach.cutOff {
 		if servers := p.limitedServers(now, request); len(servers) > 0 {
 			if !request.LocalOnly && !slices.Contains(request.TriedRegions, p.Region) {
 				if holder, ok := p.limits.Handover(now, service, servers); ok {
--- a/internal/placer/outcome.go
+++ b/internal/placer/outcome.go
@@ -36,6 +36,10 @@
 	}
 	s.ownLoad.subtract(placed.load)
 	s.loadChanged = true
-	mayEject := p.mayEject(now, s) || outcome == OutcomeUnreachable && p.readmitFailing(now, s.Service)
+	p.recordReach(s, outcome)
+	if p.reach.cutOff {
+		return // no server is to blame
+	}
+	mayEject := p.mayEject(now, s) || outcome == OutcomeUnreachable && (p.hasOtherInUse(now, s) || p.readmitFailing(now, s.Service))
 	s.recordOutcome(now, outcome, mayEject, p.othersFailureRate(s))
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -52,6 +52,8 @@
 	// not be chosen again.
 	TriedServers []string
 	TriedRegions []string
+	// UnreachedServers is how many servers the request could not be connected to.
+	UnreachedServers int
 	// Version, unless empty, is the only software version whose servers may serve the
 	// request: it goes on with a stream that a server of that version began.
 	Version string
@@ -103,10 +105,11 @@
 	// Server is the chosen server of this region. It points into the state of the
 	// Placer: it must not be modified, and SetServers may overwrite it.
 	Server *registrar.Server
-	// Region is the other region to relay the request to, or this one together with
-	// Instance.
+	// Region is the other region to relay the request to, or this one if another instance
+	// of it must take the request over.
 	Region string
-	// Instance, unless empty, is the instance of this region to hand the request over to.
+	// Instance, unless empty, is the only instance of this region to hand the request over
+	// to.
 	Instance      string
 	RefusalReason Reason
 	// PredictedWait is the predicted time to the first event. It is 0 if no
@@ -180,6 +183,7 @@
 	speeds map[string]*serviceSpeed
 	// lengths are the learned lengths of outputs.
 	lengths map[kindKey]*estimator.Length
+	reach   reach
 }
 
 // placement is a request that was placed on a server and has not ended yet.
@@ -229,6 +233,9 @@
 		decision.UsableServers = local.usableServers
 		return decision
 	}
+	if !p.reaches(request) {
+		return Decision{Region: p.Region, PredictedWait: local.wait}
+	}
 	return p.assign(now, request, local)
 }
 
--- a/internal/placer/region.go
+++ b/internal/placer/region.go
@@ -102,9 +102,12 @@
 
 // Summaries returns the summaries of this region's services, by service name, as
 // they are reported to other regions. Services without a usable, warm server are
-// left out.
+// left out, as are all while this instance is cut off.
 func (p *Placer) Summaries(now time.Time) map[string]ServiceSummary {
 	summaries := map[string]ServiceSummary{}
+	if p.reach.cutOff {
+		return summaries
+	}
 	for _, s := range p.serversByName {
 		if !p.usable(now, s) || s.cold(now) {
 			continue
