forwarder, sender: answers with a malformed head were passed on

A server in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer, without that line, or with another body: after "Transfer-Encoding : chunked" the chunks and their sizes. Cause: net/http keeps such fields under a name that nothing asks for, and leaves them out when it writes them. Fix: a final response whose status has no class, or whose fields no server may send, is no answer; its connection is closed. Status 000 and control bytes in names were refused before (as an interim response, and by net/http); they have cases now.

--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -156,7 +156,7 @@
 	defer func() { _ = response.Body.Close() }()
 	call.record.offered++
 	out.offeredToServer = true
-	if info := f.dialect.DecodeResponse(response); info.ID == call.ID && !match.Repeated() {
+	if info := f.dialect.DecodeResponse(response); info.ID == call.ID && !match.Repeated() && matcher.CheckHead(response) == nil {
 		f.recordNotice(id, server.Name, info)
 	}
 	runsBefore := out.possibleRuns
@@ -270,9 +270,11 @@
 	f.metrics.Count("responses-by-" + string(call.record.received.framing))
 	info := f.dialect.DecodeResponse(response)
 	switch {
-	case response.StatusCode < http.StatusOK:
+	case matcher.CheckHead(response) != nil:
 		// After a switch of protocols the body ends at no deadline.
-		call.record.note = "interim response as the last one, status " + strconv.Itoa(response.StatusCode)
+		f.metrics.Count("malformed-responses")
+		call.record.note = "malformed head, or an interim response as the last one, status " + strconv.Itoa(response.StatusCode)
+		match.Discard()
 		return resultUnknown, placer.OutcomeFailed
 	case info.ID != "" && info.ID != call.ID:
 		f.metrics.Count("answers-crossed")
--- a/internal/orderer/courier.go
+++ b/internal/orderer/courier.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/boragehead/boragehead/internal/matcher"
 )
 
 // HeaderFencingNumber is the header with the fencing number of an order.
@@ -59,7 +61,10 @@
 		return trace.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusBadRequest {
+	if err := matcher.CheckHead(response); err != nil {
+		return trace.Wrap(err)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
 		return trace.Errorf("the server refused the order with status %d", response.StatusCode)
 	}
 	return nil
--- a/internal/orderer/endless_test.go
+++ b/internal/orderer/endless_test.go
@@ -27,6 +27,8 @@
 		{name: "header line", head: "HTTP/1.1 200 OK\r\nX-Long: ", piece: "a"},
 		{name: "interim responses", piece: "HTTP/1.1 102 Processing\r\n\r\n"},
 		{name: "other protocol", head: "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", piece: "a"},
+		{name: "status that is none", head: "HTTP/1.1 000 Trouble\r\n\r\n", piece: "a"},
+		{name: "blank in a field name", head: "HTTP/1.1 200 OK\r\nX Odd: a\r\n\r\n", piece: "a"},
 		{name: "body", head: "HTTP/1.1 200 OK\r\n\r\n", piece: "a", accepted: true},
 		{name: "body of a refusal", head: "HTTP/1.1 409 Conflict\r\n\r\n", piece: "a"},
 	}
--- a/internal/sender/attempt.go
+++ b/internal/sender/attempt.go
@@ -142,8 +142,9 @@
 		return stream.failedAttempt(match.Connected())
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode < http.StatusOK {
+	if matcher.CheckHead(response) != nil {
 		// After a switch of protocols the body ends at no deadline.
+		match.Discard()
 		return stream.failedAttempt(true)
 	}
 	if id := response.Header.Get(exchanger.HeaderRequestID); id != "" && id != x.ID {
--- a/internal/sender/complete_test.go
+++ b/internal/sender/complete_test.go
@@ -50,6 +50,17 @@
 	}
 }
 
+// TestMalformedHeadIsPassedOn guards against responses whose head no server may send, and whose
+// body may therefore be another one than the server meant.
+func TestMalformedHeadIsPassedOn(t *testing.T) {
+	const whole = "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+	for _, head := range []string{"HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 200 OK\r\nX Odd: a\r\n", "HTTP/1.1 200 OK\r\nX\x01Odd: a\r\n"} {
+		x, writer := newExchange("{}", true)
+		refusal := startHandlers(t, respondRaw(head+whole)).Handle(context.Background(), x)
+		assert.Assert(t, refusal != nil && writer.Body.Len() == 0, "%q: status %d", head, writer.Code)
+	}
+}
+
 // TestBrokenResponseLooksComplete sends responses of every framing and ending. A
 // part of a stream must end with the error event, and no part of another response
 // may reach the caller.
