forwarder, sender: a reset during the upload made a part look whole

A server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still written. The caller got the part as a complete answer. Cause: the kernel reports a reset once. The write of the request takes it, and the read after it is told that the connection has ended in order. Fix: a response that ends with its connection is complete only if its request had been written as a whole, without an error.

--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -49,6 +49,9 @@
 	// goesOn means that the last attempt has brought an event that the caller lacked, or
 	// again the last one that it had.
 	goesOn bool
+	// checkClosed returns an error if a response that ends with its connection is not
+	// complete.
+	checkClosed func() error
 	// breakCause is the error with which the connection ended under the last
 	// attempt; nil if it did not.
 	breakCause error
@@ -94,6 +97,9 @@
 func (r *callerResponse) forwardWhole(response *http.Response) (attemptResult, placer.Outcome) {
 	held := r.memory.Held()
 	body, err := r.memory.ReadAll(response.Body, maxResponseBytes)
+	if err == nil {
+		err = r.checkEnd()
+	}
 	if err != nil {
 		r.memory.Shrink(held)
 		r.breakCause = err
@@ -120,6 +126,14 @@
 	return resultAnswered, placer.OutcomeAnswered
 }
 
+// checkEnd returns an error if the body that has just ended may lack its end.
+func (r *callerResponse) checkEnd() error {
+	if r.call.record.received.framing != framingClose {
+		return nil
+	}
+	return r.checkClosed()
+}
+
 // impliesNotRun reports whether callers take a status to mean that the request
 // was not run. Such a response is not forwarded, because a server that does not
 // state this itself (see [ResponseInfo]) may have run the request.
@@ -227,6 +241,9 @@
 			if err == nil && !r.goesOn {
 				err = errNothingResumed
 			}
+			if err == nil {
+				err = r.checkEnd()
+			}
 			if err == nil && len(event) == 0 {
 				return r.finishStream(response)
 			}
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -269,6 +269,7 @@
 	response.Body = countingReader{response.Body, &call.record.received.bytes}
 	f.metrics.Count("responses-by-" + string(call.record.received.framing))
 	info := f.dialect.DecodeResponse(response)
+	out.checkClosed = func() error { return match.CheckClosed(response.Request.Context()) }
 	switch {
 	case matcher.CheckHead(response) != nil:
 		// After a switch of protocols the body ends at no deadline.
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -69,6 +71,9 @@
 	connected bool
 	reused    bool
 	repeated  bool
+	// written is closed once the request was written as a whole, or writeErr is set.
+	written  chan struct{}
+	writeErr error
 }
 
 // Follow returns a context to send the request with this id with.
@@ -81,9 +86,47 @@
 		if m.conn, _ = info.Conn.(*conn); m.conn != nil {
 			m.repeated = m.conn.carry(m.id)
 		}
+		m.written, m.writeErr = make(chan struct{}), nil
+	}, WroteRequest: func(info httptrace.WroteRequestInfo) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		select {
+		case <-m.written: // net/http reports an attempt once
+		default:
+			m.writeErr = info.Err
+			close(m.written)
+		}
 	}})
 }
 
+// writeGrace is how long after the end of a response its request may go on to be written.
+const writeGrace = time.Second
+
+// CheckClosed returns an error unless the end of the connection was the end of the response
+// that it carried. A server that resets the connection while the request is still written
+// looks like one that closes it: the write takes the reset, and the reader is told of an
+// end. It waits for a write that is about to end, at most for a second.
+func (m *Match) CheckClosed(ctx context.Context) error {
+	m.mu.Lock()
+	written := m.written
+	m.mu.Unlock()
+	if written == nil {
+		return nil
+	}
+	timer := time.NewTimer(writeGrace)
+	defer timer.Stop()
+	select {
+	case <-written:
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.writeErr
+	case <-timer.C:
+		return io.ErrUnexpectedEOF
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Connected reports whether the request got a connection.
 func (m *Match) Connected() bool {
 	m.mu.Lock()
--- a/internal/sender/attempt.go
+++ b/internal/sender/attempt.go
@@ -147,6 +147,7 @@
 		match.Discard()
 		return stream.failedAttempt(true)
 	}
+	stream.checkClosed = func() error { return match.CheckClosed(ctx) }
 	if id := response.Header.Get(exchanger.HeaderRequestID); id != "" && id != x.ID {
 		s.counters.CountMismatched()
 		match.Discard()
@@ -277,6 +278,9 @@
 	if errors.Is(err, reserver.ErrExhausted) {
 		return attemptLacksMemory
 	}
+	if err == nil && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		err = stream.checkClosed()
+	}
 	if err != nil || !isComplete(response, body) {
 		stream.breakCause = cmp.Or(err, io.ErrUnexpectedEOF)
 		return attemptUnknown
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -62,6 +62,9 @@
 	// onBegin, unless nil, is called once in each attempt, at its first event or when a
 	// response that is not a stream has been read.
 	onBegin func()
+	// checkClosed returns an error if a response that ends with its connection is not
+	// complete.
+	checkClosed func() error
 	// breakCause is the error with which the server's connection ended under the last
 	// attempt; nil if it did not.
 	breakCause error
