--- a/internal/estimator/length_test.go
+++ b/internal/estimator/length_test.go
@@ -12,9 +12,9 @@
 // because their callers' estimates are far off: of the highest estimates most are too high.
 func TestEstimatesFarOffAreTakenAsTheyAre(t *testing.T) {
 	random, l := rand.New(rand.NewPCG(1, 2)), Length{}
-	draw := func() (expected, length int64) {
-		real := 200 * math.Exp(0.8*random.NormFloat64())
-		return max(int64(real*math.Exp(0.6*random.NormFloat64())), 1), max(int64(real), 1)
+	draw := func() (int64, int64) {
+		length := 200 * math.Exp(0.8*random.NormFloat64())
+		return max(int64(length*math.Exp(0.6*random.NormFloat64())), 1), max(int64(length), 1)
 	}
 	assert.Equal(t, l.Correct(800), int64(800))
 	for range 2 * window {
--- a/internal/replicator/manage_test.go
+++ b/internal/replicator/manage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -210,6 +211,39 @@
 	assert.Equal(t, c.awaitLeader().machine.value, uint64(2))
 }
 
+// TestChangesFailAfterDisksWereFull guards against stores that never take part again after their
+// disks were full, one after another: changes are made and kept once the last has room.
+func TestChangesFailAfterDisksWereFull(t *testing.T) {
+	for seed := range uint64(5) {
+		c := newManagedCluster(t, 3)
+		value := uint64(1)
+		c.commitValue(value)
+		random := rand.New(rand.NewPCG(seed, 7))
+		for round := range 24 {
+			full := c.nodes[round%len(c.nodes)]
+			full.group.RetryWrites(time.Millisecond)
+			full.disk.FailWrites(1 + random.IntN(6))
+			if random.IntN(2) == 0 {
+				full.isolated = true // it pauses, so that the others go on without it
+				c.run(60)
+				full.isolated = false
+			}
+			value++
+			c.commitValue(value)
+			c.run(random.IntN(40))
+		}
+		value++
+		c.commitValue(value)
+		c.run(30)
+		for _, n := range c.nodes {
+			assert.Assert(t, !n.down, "seed %d", seed)
+			n.disk.Crash()
+			c.start(n)
+			assert.Equal(t, n.machine.value, value, "seed %d", seed)
+		}
+	}
+}
+
 // TestCommittedStateIsRestoredAtStart restarts all stores: each must have the
 // committed state before any of them leads.
 func TestCommittedStateIsRestoredAtStart(t *testing.T) {
