placer: brittle servers are not offered what they have no room for

While a service says it, a server gets requests only with a slot free, less what other instances place unseen; one that turned a request away pauses by its bound and the number of instances; what finds no room is refused at once. Result: TestBrittleServerIsOverfilled fails without the check (5 turned away in a second, 4 allowed).

--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -195,7 +195,8 @@
 	}
 	f.fleet.RecordNotice(id, info.Notice)
 	info.Notice.Load = placer.ServerLoad{} // servers may report it in every response
-	if info.Notice != (placer.Notice{}) && info.Notice != (placer.Notice{Unlimited: true}) {
+	info.Notice.Unlimited, info.Notice.Sturdy = false, false
+	if info.Notice != (placer.Notice{}) {
 		f.metrics.Count("server-notices")
 	}
 }
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -106,7 +106,7 @@
 	if s.Service != request.Service.Name || slices.Contains(request.TriedServers, s.Name) || !p.usable(now, s) {
 		return false
 	}
-	if !request.allowsVersion(s.Version) {
+	if !request.allowsVersion(s.Version) || p.lacksRoom(now, s) {
 		return false
 	}
 	if !p.limits.MaySend(now, s.start().throttled(), request.isUrgent()) {
--- a/internal/placer/notice.go
+++ b/internal/placer/notice.go
@@ -18,6 +18,11 @@
 	Limited bool
 	// Unlimited means that the server has named no limit, in an answer of its own.
 	Unlimited bool
+	// Brittle is how many requests the server can turn away in a second for want of room
+	// without ending; 0 if it did not say. Sturdy means that it did not, in an answer of its
+	// own.
+	Brittle int32
+	Sturdy  bool
 	// Load is the load that the server reported.
 	Load ServerLoad
 }
@@ -51,6 +56,7 @@
 		return
 	}
 	p.recordLimit(now, placed, said)
+	p.recordBrittleness(now, placed, said)
 	p.recordServerLoad(now, placed, said.Load)
 	if !said.Leaving && said.RetryAfter == 0 {
 		return
@@ -82,8 +88,18 @@
 		return refusal
 	}
 	for _, s := range p.serversByName {
+		if s.Service != request.Service.Name {
+			continue
+		}
 		left := s.notice.backoffUntil.Sub(now)
-		if s.Service != request.Service.Name || left <= 0 || !p.listedAsUsable(now, s) {
+		if p.lacksRoom(now, s) && p.isInUse(s) {
+			left = max(left, s.turnedAwayUntil.Sub(now), noRoomRetryAfter)
+			if refusal.RefusalReason == ReasonNoServer || left < refusal.RetryAfter {
+				refusal = Decision{RefusalReason: ReasonOverloaded, RetryAfter: left}
+			}
+			continue
+		}
+		if left <= 0 || !p.listedAsUsable(now, s) {
 			continue
 		}
 		if refusal.RefusalReason == ReasonNoServer || left < refusal.RetryAfter {
--- a/internal/placer/outcome.go
+++ b/internal/placer/outcome.go
@@ -37,6 +37,9 @@
 	s.ownLoad.subtract(placed.load)
 	s.loadChanged = true
 	p.recordReach(s, outcome)
+	if outcome == OutcomeDeclined {
+		p.recordTurnedAway(now, s)
+	}
 	if p.reach.cutOff {
 		return // no server is to blame
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -184,6 +184,8 @@
 	// lengths are the learned lengths of outputs.
 	lengths map[kindKey]*estimator.Length
 	reach   reach
+	// brittle holds the services whose servers are brittle.
+	brittle map[string]brittleness
 }
 
 // placement is a request that was placed on a server and has not ended yet.
--- a/internal/placer/region.go
+++ b/internal/placer/region.go
@@ -109,7 +109,7 @@
 		return summaries
 	}
 	for _, s := range p.serversByName {
-		if !p.usable(now, s) || s.cold(now) {
+		if !p.usable(now, s) || s.cold(now) || p.lacksRoom(now, s) {
 			continue
 		}
 		summary := summaries[s.Service]
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -44,6 +44,9 @@
 	cacheCapacity int64
 	notice        notice
 	slowdowns     slowdowns
+	// turnedAwayUntil is until when a brittle server gets no requests because it turned one
+	// away.
+	turnedAwayUntil time.Time
 	// speed is the learned speed of the service; nil for plain services.
 	speed *serviceSpeed
 	// eventTokens is the number of tokens in an event of a stream.
