forwarder: characters of a path were encoded on the way to a server

Cause: net/http writes a URL anew, with what RFC 3986 does not allow encoded. Fix: a path that it would change goes onto the wire as the caller sent it.

--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -207,6 +207,7 @@
 	in := call.Request
 	address := *in.URL
 	address.Scheme, address.Host = "http", host
+	keepPath(&address, sentPath(in))
 	header := in.Header.Clone()
 	removeHopByHopHeaders(header)
 	for _, name := range resendHeaders {
