forwarder: an encoded slash took requests to the service of another route

Cause: routes were matched by the decoded path, while servers get the path as it was sent. Prefixes that are encoded themselves matched nothing. Fix: routes are matched by the path as it was sent, also for relayed calls and for homes.

--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -22,7 +22,7 @@
 // deadline.
 func resolveCall(view *definer.View, call *Call) *Refusal {
 	call.record.definitionVersion = view.Version
-	route, err := view.Route(call.Request.Host, call.Request.URL.Path)
+	route, err := view.Route(call.Request.Host, sentPath(call.Request))
 	if err != nil {
 		return &Refusal{Status: http.StatusNotFound, Reason: "no-route"}
 	}
--- a/internal/forwarder/homes.go
+++ b/internal/forwarder/homes.go
@@ -41,7 +41,7 @@
 		return
 	}
 	call.homesVersion = view.Version
-	route, err := view.Route(call.Request.Host, call.Request.URL.Path)
+	route, err := view.Route(call.Request.Host, sentPath(call.Request))
 	if err != nil {
 		return
 	}
--- a/internal/forwarder/path_test.go
+++ b/internal/forwarder/path_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -42,3 +43,25 @@
 		assert.NilError(t, conn.Close())
 	}
 }
+
+// TestEncodedSlashSelectsRoute guards against routes that are chosen by a decoded path: an encoded
+// slash is no slash between two segments, and a prefix may be encoded itself.
+func TestEncodedSlashSelectsRoute(t *testing.T) {
+	view := definer.NewView(definer.Definition{Routes: []definer.Route{
+		{Name: "stock", Host: "gateway", Prefix: "/stock/"}, {Name: "kch", Host: "gateway", Prefix: "/stock/kch/"},
+		{Name: "argon", Host: "gateway", Prefix: "/argon%20gas/"},
+	}})
+	cases := []struct{ target, route string }{
+		{"/stock/kch/17", "kch"},
+		{"/stock/kch%2F17", "stock"},
+		{"http://gateway/stock/kch%2F17?x=/", "stock"},
+		{"/argon%20gas/1", "argon"},
+		{"/argon%2520gas/1", ""},
+	}
+	for _, c := range cases {
+		request, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET " + c.target + " HTTP/1.1\r\nHost: gateway\r\n\r\n")))
+		assert.NilError(t, err)
+		route, err := view.Route("gateway", sentPath(request))
+		assert.Assert(t, err == nil && route.Name == c.route || err != nil && c.route == "", "%s: %v", c.target, err)
+	}
+}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -287,7 +287,7 @@
 	if view == nil || view.Version <= call.record.definitionVersion {
 		return false
 	}
-	route, err := view.Route(call.Request.Host, call.Request.URL.Path)
+	route, err := view.Route(call.Request.Host, sentPath(call.Request))
 	return err != nil || !slices.ContainsFunc(route.Targets, func(target definer.Target) bool { return target.Service == call.Service.Name })
 }
 
