forwarder: an instance that is back served by the definition from before

Cause: an instance that starts serves by the first definition that it hears, which its control instance has from its disk.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -294,7 +294,8 @@
 // the attempts. It returns nil if the caller has got a server's response.
 func (f *Forwarder) serve(w http.ResponseWriter, call *Call) *Refusal {
 	call.open.enter(phaseChecks)
-	f.waitWhileStarting(call.Request.Context(), func() bool { return f.fleet.View() != nil })
+	// The first definition may be the one from before this instance was away.
+	f.waitWhileStarting(call.Request.Context(), func() bool { return f.fleet.View() != nil && f.hasNewest() })
 	if f.fleet.View() == nil {
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no-definition", RetryAfter: time.Second}
 	}
--- a/internal/forwarder/homes_test.go
+++ b/internal/forwarder/homes_test.go
@@ -110,6 +110,25 @@
 	}
 }
 
+// TestFirstDefinitionIsOutdated guards against an instance that has just started, with its region,
+// and serves by the definition from before, though its home has moved meanwhile.
+func TestFirstDefinitionIsOutdated(t *testing.T) {
+	g, fleet := newMovingGateway(t, onceRoute, []string{"north"}, respond(200, "outside its home"))
+	fleet.starting.Store(true)
+	fleet.unconfirmed.Store(int64(time.Minute))
+	confirmed := time.AfterFunc(50*time.Millisecond, func() {
+		fleet.current.Store(viewWithHomes(2, onceRoute, "south"))
+		fleet.unconfirmed.Store(0)
+		fleet.starting.Store(false)
+	})
+	defer confirmed.Stop()
+	status, body, err := g.do("POST", "/a", "x")
+	assert.NilError(t, err)
+	assert.Equal(t, status, 503)
+	assert.Equal(t, body, string(placer.ReasonNoServer))
+	assert.Equal(t, g.serverRequests.Load(), int32(0))
+}
+
 // TestWaitForServerAfterHomeHasMoved has a call wait at an instance that has just
 // started and knows no server, until a definition arrives that moves its home.
 func TestWaitForServerAfterHomeHasMoved(t *testing.T) {
