placer: restarted instances all warmed up the same cold server

Cause: an instance that has heard no neighbour yet takes itself for the owner of every warm-up, and all of them do so at the same moment. Fix: for a second after a start, or after it stood still, an instance warms no server up.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -192,6 +192,7 @@
 		Incarnation: time.Now().UnixNano(), PeerAddress: settings.PeerAddress,
 		CallerAddress: settings.CallerAddress, RelayAddress: settings.RelayAddress(),
 	}
+	f.placer.NeighboursKnownAt = f.startTime.Add(neighbourTime)
 	f.placer.InstanceName, f.placer.Region, f.placer.FailureDomain = settings.Name, settings.Region, settings.FailureDomain
 	f.quotas.FailureDomain = settings.FailureDomain
 	for _, seed := range settings.SeedPeers() {
@@ -218,6 +219,10 @@
 	return f.lifecycle == beaconer.StateReady
 }
 
+// neighbourTime is how long after a start, or after it stood still, an instance may not have
+// heard all others of its failure domain: those that start with it need as long as it does.
+const neighbourTime = time.Second
+
 // startupPeriod is how long after its start an instance may not know
 // everything yet that the others know: two periods of the servers' heartbeats.
 const startupPeriod = 2400 * time.Millisecond
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -61,6 +61,9 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	f.standstill.recordRefresh(now)
+	if f.standstill.ended.Equal(now) {
+		f.placer.NeighboursKnownAt = now.Add(neighbourTime)
+	}
 	for _, address := range f.controlAddresses {
 		if _, known := f.controlWatches[address]; !known {
 			f.startWatch(ctx, now, address)
--- a/internal/forwarder/output.go
+++ b/internal/forwarder/output.go
@@ -5,9 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -126,14 +124,6 @@
 	return resultAnswered, placer.OutcomeAnswered
 }
 
-// checkEnd returns an error if the body that has just ended may lack its end.
-func (r *callerResponse) checkEnd() error {
-	if r.call.record.received.framing != framingClose {
-		return nil
-	}
-	return r.checkClosed()
-}
-
 // impliesNotRun reports whether callers take a status to mean that the request
 // was not run. Such a response is not forwarded, because a server that does not
 // state this itself (see [ResponseInfo]) may have run the request.
@@ -396,12 +386,3 @@
 // statusStreamBroken is logged for a stream that could not be completed. It is
 // not sent.
 const statusStreamBroken = 599
-
-// splitHeaderList splits a comma-separated header value and drops empty elements.
-func splitHeaderList(value string) []string {
-	names := strings.Split(value, ",")
-	for i := range names {
-		names[i] = strings.TrimSpace(names[i])
-	}
-	return slices.DeleteFunc(names, func(name string) bool { return name == "" })
-}
--- a/internal/forwarder/received.go
+++ b/internal/forwarder/received.go
@@ -107,3 +107,11 @@
 	*r.count += int64(n)
 	return n, err
 }
+
+// checkEnd returns an error if the body that has just ended may lack its end.
+func (r *callerResponse) checkEnd() error {
+	if r.call.record.received.framing != framingClose {
+		return nil
+	}
+	return r.checkClosed()
+}
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -9,6 +9,7 @@
 	"mime"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -330,3 +331,12 @@
 	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
 	return err == nil && mediaType == "text/event-stream" && response.StatusCode == http.StatusOK
 }
+
+// splitHeaderList splits a comma-separated header value and drops empty elements.
+func splitHeaderList(value string) []string {
+	names := strings.Split(value, ",")
+	for i := range names {
+		names[i] = strings.TrimSpace(names[i])
+	}
+	return slices.DeleteFunc(names, func(name string) bool { return name == "" })
+}
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -256,7 +256,7 @@
 	if service.WarmupRate <= 0 {
 		return true
 	}
-	if s.FailureDomain != p.FailureDomain {
+	if s.FailureDomain != p.FailureDomain || now.Before(p.NeighboursKnownAt) {
 		return false
 	}
 	return p.warmupOwner(now, s) == p.InstanceName && now.Sub(s.lastSent) >= service.WarmupInterval()
--- a/internal/placer/outcome.go
+++ b/internal/placer/outcome.go
@@ -46,3 +46,20 @@
 	mayEject := p.mayEject(now, s) || outcome == OutcomeUnreachable && (p.hasOtherInUse(now, s) || p.readmitFailing(now, s.Service))
 	s.recordOutcome(now, outcome, mayEject, p.othersFailureRate(s))
 }
+
+// RecordFirstEvent records the first event of a placed request: its prompt is
+// prefilled. It ignores unknown IDs and every call but the first for an ID.
+func (p *Placer) RecordFirstEvent(now time.Time, id uint64) {
+	placed, known := p.placementsByID[id]
+	if !known || placed.firstEventSeen {
+		return
+	}
+	placed.firstEventSeen = true
+	if s, known := p.serversByName[placed.start.name]; known {
+		s.ownLoad.PrefillTokens -= placed.load.PrefillTokens
+		s.loadChanged = true
+		s.recordFirstEvent(now, placed)
+		p.updateSpeed(s.Service)
+	}
+	placed.load.PrefillTokens = 0
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -155,6 +155,9 @@
 	// RegionInstances is the number of instances of this region, this one
 	// included. Servers take it over at the next call of SetServers.
 	RegionInstances int
+	// NeighboursKnownAt is until when this instance may not have heard the others of its
+	// failure domain yet: it warms no server up before.
+	NeighboursKnownAt time.Time
 
 	serversByName  map[string]*server
 	placementsByID map[uint64]*placement
@@ -378,20 +381,3 @@
 	}
 	return decision
 }
-
-// RecordFirstEvent records the first event of a placed request: its prompt is
-// prefilled. It ignores unknown IDs and every call but the first for an ID.
-func (p *Placer) RecordFirstEvent(now time.Time, id uint64) {
-	placed, known := p.placementsByID[id]
-	if !known || placed.firstEventSeen {
-		return
-	}
-	placed.firstEventSeen = true
-	if s, known := p.serversByName[placed.start.name]; known {
-		s.ownLoad.PrefillTokens -= placed.load.PrefillTokens
-		s.loadChanged = true
-		s.recordFirstEvent(now, placed)
-		p.updateSpeed(s.Service)
-	}
-	placed.load.PrefillTokens = 0
-}
