placer: two fifths of the servers are reserved for long outputs

Change: two fifths of the warm servers are reserved; they take long prompts up to 20 running requests instead of 12, and a long prompt may find a queue of 0.36 of its objective instead of 0.3, so that drafts pay less for it.

--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -34,13 +34,13 @@
 	// more than reservedPrefillMaxRunning it takes none that has more than
 	// reservedMaxPrefill tokens to prefill.
 	reservedMaxRunning        = 28
-	reservedPrefillMaxRunning = 12
+	reservedPrefillMaxRunning = 20
 	reservedMaxPrefill        = 1500
 	longOutput                = 450
 	// minServersForReserve is the fewest servers of a service of which some are
 	// reserved, and reservedShare the share that is: at least one.
 	minServersForReserve = 3
-	reservedShare        = 1.0 / 3
+	reservedShare        = 0.4
 )
 
 // comparisonBasis holds what all candidates for one request are compared by.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -318,7 +318,7 @@
 	takeUpWaitFactor = 3.0
 	// queueWaitShare is the share of the time to the objective that other work on
 	// the server may take if the request's own prefill alone takes too long.
-	queueWaitShare = 0.3
+	queueWaitShare = 0.36
 	// minRetryAfter is the shortest RetryAfter of an overload refusal.
 	minRetryAfter = 100 * time.Millisecond
 	// noServerRetryAfter is the RetryAfter while no server is known. Servers
