--- a/internal/forwarder/path_test.go
+++ b/internal/forwarder/path_test.go
@@ -39,6 +39,7 @@
 		assert.NilError(t, err)
 		body, err := io.ReadAll(response.Body)
 		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
 		assert.Equal(t, string(body), target)
 		assert.NilError(t, conn.Close())
 	}
