placer: crashed servers cut an instance off for a moment

Cause: of probes that were only of servers that could not be reached before none opens, and the instance took itself to be cut off until the next probes of any servers, 0.25 s later. Fix: only probes of any servers decide. Result: TestCrashedServersCutInstanceOff fails without it.

--- a/internal/follower/reach_test.go
+++ b/internal/follower/reach_test.go
@@ -28,6 +28,7 @@
 		f.placer.Place(now, request)
 		f.placer.Finish(now, id+1, placer.OutcomeUnreachable)
 	}
+	f.placer.ServersToProbe(now)
 	f.placer.RecordProbes(now, probes)
 }
 
--- a/internal/placer/reach.go
+++ b/internal/placer/reach.go
@@ -24,6 +24,9 @@
 	cutOff bool
 	// probedAt is when servers were last probed to find out whether this instance is cut off.
 	probedAt time.Time
+	// probingAll means that the probes under way are of any servers, and not only of those that
+	// could not be reached before.
+	probingAll bool
 	// mayHandOver means that another instance of the region is known that is not cut off.
 	mayHandOver bool
 }
@@ -71,7 +74,7 @@
 
 // ServersToProbe returns the servers to try a connection to now: some of all if this
 // instance may be cut off, and those that could not be reached. The results must be passed
-// to RecordProbes.
+// to RecordProbes before the next call.
 func (p *Placer) ServersToProbe(now time.Time) []registrar.Server {
 	var servers []registrar.Server
 	suspected := p.reach.cutOff || len(p.reach.failed) >= minFailedServers
@@ -82,7 +85,7 @@
 			servers = append(servers, s.Server)
 		}
 	}
-	if all {
+	if p.reach.probingAll = all; all {
 		p.reach.probedAt = now
 	}
 	return servers
@@ -115,7 +118,7 @@
 		p.reach.failed, p.reach.cutOff = nil, false
 		return
 	}
-	if len(p.reach.failed) >= minFailedServers && len(probes) >= minFailedServers && !p.reach.cutOff {
+	if p.reach.probingAll && len(probes) >= minFailedServers && !p.reach.cutOff {
 		p.reach.cutOff = true
 		p.clearFailures(now)
 	}
