--- a/internal/follower/reach.go
+++ b/internal/follower/reach.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/boragehead/boragehead/internal/beaconer"
+	"github.com/boragehead/boragehead/internal/conductor"
 	"github.com/boragehead/boragehead/internal/placer"
 	"github.com/boragehead/boragehead/internal/registrar"
 )
@@ -26,21 +27,14 @@
 // ProbeServers tries connections to the servers that seem unreachable until the context
 // ends, to find out whether this instance is cut off from all of them.
 func (f *Follower) ProbeServers(ctx context.Context) error {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return conductor.RunEvery(ctx, probeInterval, func(ctx context.Context) {
 		f.mu.Lock()
 		servers := f.placer.ServersToProbe(time.Now())
 		f.mu.Unlock()
 		if len(servers) > 0 {
 			f.recordProbes(probe(ctx, servers))
 		}
-	}
+	})
 }
 
 // probe tries a connection to each server.
