--- a/review/harness3/parts.go
+++ b/review/harness3/parts.go
@@ -32,13 +32,14 @@
 	defer transport.CloseIdleConnections()
 	var sending sync.WaitGroup
 	var mu sync.Mutex
-	answers := map[int]int{}
+	answers, byRequest := map[int]int{}, map[string]int{}
 	for client := range partsClients {
 		sending.Go(func() {
 			for i := client; i < partsRequests && entry.runs(); i += partsClients {
 				status := sendParts(transport, entry, i, trouble)
 				mu.Lock()
 				answers[status]++
+				byRequest[requestID(i)] = status
 				mu.Unlock()
 				if i%250 == 0 {
 					f.record.line("request %d of %d answered %d; %s has used %.0f MB at most", i, partsRequests, status, entry.name, entry.status("VmHWM"))
@@ -47,6 +48,9 @@
 		})
 	}
 	sending.Wait()
+	for i := range partsRequests {
+		f.record.line("request %s answered %d, run by %v", requestID(i), byRequest[requestID(i)], all.serversOf(requestID(i)))
+	}
 	f.record.line("answers by status: %v; %d requests run by servers", answers, all.count())
 	used := entry.status("VmHWM")
 	f.record.line("%s runs: %v; it has used %.0f MB at most and may use %d MB", entry.name, entry.runs(), used, memoryMB)
@@ -59,6 +63,8 @@
 	return exitHeld
 }
 
+func requestID(i int) string { return fmt.Sprintf("%016x", i+1) }
+
 func sendParts(transport *http.Transport, entry *process, i int, trouble bool) int {
 	parts, usage := fmt.Sprintf("%x:119,%x:628", 1+i%40, 0x100000+i), "747,20"
 	if trouble {
@@ -73,7 +79,7 @@
 		return 0
 	}
 	request.Host = "shop.example"
-	request.Header.Set("X-Request-Id", fmt.Sprintf("%016x", i))
+	request.Header.Set("X-Request-Id", requestID(i))
 	request.Header.Set("X-Deadline-Ms", "15000")
 	request.Header.Set("X-Key", "key-of-the-shop")
 	request.Header.Set("X-Model", "m")
--- a/review/harness3/versions.go
+++ b/review/harness3/versions.go
@@ -20,7 +20,7 @@
 const (
 	streamEvents   = 60
 	streamInterval = 100 * time.Millisecond
-	streamCount    = 12
+	streamCount    = 40
 	// serverDowntime is how long a server that crashes is away, and crashGap the time from the
 	// begin of the streams to the crash of the second server.
 	serverDowntime = 250 * time.Millisecond
@@ -40,21 +40,16 @@
 		f.record.line("cannot start: %v", err)
 		return exitNotRun
 	}
-	var servers []*server
-	for i := range 2 {
-		s := &server{fleet: f, runs: &all, service: "engines", ip: f.host(), zone: "north-1", slots: 64}
-		s.answer = s.versionedStream
-		if err := s.start(fmt.Sprintf("i-%d", i), "v1"); err != nil {
-			f.record.line("cannot start a server: %v", err)
-			return exitNotRun
-		}
-		servers = append(servers, s)
+	servers, err := f.startServers(&all)
+	if err != nil {
+		f.record.line("cannot start a server: %v", err)
+		return exitNotRun
 	}
 	if !f.anyControl(http.MethodPut, "/-/config", desiredState(1), 10*time.Second) || !f.awaitReady(10*time.Second) {
 		return exitNotRun
 	}
 	time.Sleep(2 * heartbeatInterval)
-	servers[1].crashAndReturn(trouble)
+	servers[1].crashAndReturn(trouble) // it serves nothing yet
 	time.Sleep(200 * time.Millisecond)
 	var reading sync.WaitGroup
 	var mu sync.Mutex
@@ -86,6 +81,28 @@
 	return exitHeld
 }
 
+// serversByZone is how many servers each failure domain has, as on the sheet of the co-op.
+var serversByZone = []struct {
+	zone  string
+	count int
+}{{"north-1", 5}, {"south-1", 4}, {"east-1", 3}}
+
+// startServers starts the servers of all failure domains, those of the first one first.
+func (f *fleet) startServers(all *runs) ([]*server, error) {
+	var servers []*server
+	for _, domain := range serversByZone {
+		for range domain.count {
+			s := &server{fleet: f, runs: all, service: "engines", ip: f.host(), zone: domain.zone, slots: 64}
+			s.answer = s.versionedStream
+			if err := s.start(fmt.Sprintf("i-%d", len(servers)), "v1"); err != nil {
+				return nil, err
+			}
+			servers = append(servers, s)
+		}
+	}
+	return servers, nil
+}
+
 // crashAndReturn ends the server and starts it again under its id with the next version.
 func (s *server) crashAndReturn(late bool) {
 	s.fleet.record.line("server %s %s crashes", s.id, s.version)
