--- a/review/harness3/server.go
+++ b/review/harness3/server.go
@@ -62,6 +62,7 @@
 	service, ip string
 	zone        string
 	slots       int
+	port        int
 
 	mu       sync.Mutex
 	id       string
@@ -76,7 +77,12 @@
 	answer func(w http.ResponseWriter, r *http.Request)
 }
 
-func (s *server) address() string { return addr(s.ip, portServers) }
+func (s *server) address() string {
+	if s.port == 0 {
+		return addr(s.ip, portServers)
+	}
+	return addr(s.ip, s.port)
+}
 
 // start starts the server under an id.
 func (s *server) start(id, version string) error {
